--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+# Everyday commands; `make demo` and `make test` set everything up.
+PYTHON ?= python3
+BIN = .venv/bin
+SEED ?= 1
+
+.PHONY: setup demo test lint format generate matrix matrix-processes
+.PHONY: bench-overhead bench-detection bench-load bench-capacity
+
+setup: .venv/.installed
+
+.venv/.installed: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+	    --editable packages/coordination \
+	    --editable packages/daemon \
+	    --editable packages/operator
+	touch $@
+
+demo: setup
+	$(BIN)/python -m bench.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/black --quiet --check .
+	$(BIN)/flake8
+
+format: setup
+	$(BIN)/black --quiet .
+
+generate: setup
+	cd packages/daemon/acaciafield_daemon && \
+	    ../../../$(BIN)/python -m grpc_tools.protoc \
+	    -I. --python_out=. peers.proto
+
+matrix: setup
+	$(BIN)/python -m bench.matrix --seed $(SEED)
+
+matrix-processes: setup
+	$(BIN)/python -m bench.matrix_processes --seed $(SEED)
+
+bench-overhead: setup
+	$(BIN)/python -m bench.overhead
+
+bench-detection: setup
+	$(BIN)/python -m bench.detection
+
+bench-load: setup
+	$(BIN)/python -m bench.load
+
+bench-capacity: setup
+	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/packages/coordination/acaciafield/binding.py
@@ -0,0 +1,271 @@
+"""Binding a request to its key's deciders, at the request's entry."""
+
+from acaciafield import claims
+from acaciafield import events
+from acaciafield import keys
+from acaciafield import messages
+from acaciafield import outcomes
+from acaciafield import records
+from acaciafield import requests
+from acaciafield import structs
+
+HOME_WAIT = 0.6  # seconds for the home's verdict, the replica's included
+RESOLVE_WAIT = 0.4  # seconds for one decider when a request is given up
+REPORT_PERIOD = 1.0  # seconds between reports of an outcome
+MOST_REPORTS = 60
+
+Outcome = outcomes.Outcome
+Verdict = records.Verdict
+
+_ANSWERS = {
+    Verdict.NOT_RUN: (503, "The key's replica kept silent.", 1.0),
+    Verdict.EXPIRED: (
+        409,
+        "The key's prefix no longer serves; ask for addresses again.",
+        None,
+    ),
+    Verdict.IN_PROGRESS: (409, "The request is still running.", 1.0),
+    Verdict.UNKNOWN: (504, "Whether the request ran is not known.", None),
+    Verdict.MISMATCH: (
+        422,
+        "The key was used before with another request body.",
+        None,
+    ),
+    Verdict.FULL: (503, "The memory for keys is full.", 30.0),
+}
+_NOT_RUN = (Verdict.NOT_RUN, Verdict.EXPIRED, Verdict.FULL)
+
+
+class BindTimer(structs.Struct):
+    """A decider kept silent."""
+
+    __slots__ = ("request_id", "step")
+
+
+class ReportTimer(structs.Struct):
+    """An outcome is to be reported again."""
+
+    __slots__ = ("grant_id",)
+
+
+class KeyBinding:
+    """The deciders asked about a request's key.
+
+    ``step`` counts what was asked: 0 the home, 1 the replica, 2 the
+    home once more.
+    """
+
+    __slots__ = ("key", "step", "decider")
+
+    def __init__(self, key):
+        self.key = key
+        self.step = 0
+        self.decider = None
+
+
+class Report:
+    """An outcome that the decider has not acknowledged yet."""
+
+    __slots__ = ("message", "sent")
+
+    def __init__(self, message):
+        self.message = message
+        self.sent = 0
+
+
+def bind_key(request, key, state, now, out):
+    """Ask the key's deciders whether the request may run."""
+    if isinstance(key, keys.IssuedKey):
+        _start(request, key, state, now, out)
+        return
+    request.binding = KeyBinding(None)
+    claim = claims.ask_claim(state, key.digest, request.request_id, now, out)
+    if claim is not None:
+        _start(request, _name_deciders(key.digest, claim), state, now, out)
+
+
+def settle_claim(request, claim, state, now, out):
+    """Go on with a request whose opaque key's claim is settled."""
+    if claim is None:
+        requests.refuse_request(
+            request,
+            state,
+            503,
+            "The log is out of reach; an earlier try may have run.",
+            Outcome.UNKNOWN,
+            now,
+            out,
+            5.0,
+        )
+        return
+    parsed = keys.parse_key(request.event.service, request.event.key).ok
+    key = _name_deciders(parsed.digest, claim)
+    _start(request, key, state, now, out)
+
+
+def receive_verdict(message, state, sender, now, out):
+    """Act on a decider's verdict."""
+    request = state.requests.get(_read_request_id(message.bind_id))
+    verdict = Verdict(message.verdict)
+    stale = (
+        request is None
+        or request.binding is None
+        or request.binding.key is None
+        or request.binding.key.digest != message.key
+    )
+    if stale:
+        if verdict is Verdict.RUN:
+            _release(message, state, sender, now, out)
+        return
+    if verdict is Verdict.SEALED:
+        _ask_next(request, state, now, out)
+        return
+    if verdict is Verdict.RUN and request.binding.step > 0:
+        _release(message, state, sender, now, out)
+        return
+    _close_binding(request, state)
+    if verdict is Verdict.RUN:
+        request.grant = (request.event.key, message.grant_id, message.key)
+        requests.seek_permit(request, state, now, out)
+        return
+    if verdict is Verdict.RAN:
+        _answer_ran(request, message, state, now, out)
+        return
+    status, title, wait = _ANSWERS[verdict]
+    outcome = Outcome.NOT_RUN if verdict in _NOT_RUN else Outcome.UNKNOWN
+    if verdict is Verdict.MISMATCH:
+        outcome = Outcome.NOT_RUN
+    requests.refuse_request(
+        request, state, status, title, outcome, now, out, wait
+    )
+
+
+def fire_bind(timer, state, now, out):
+    """Ask the other decider when one keeps silent."""
+    request = state.requests.get(timer.request_id)
+    if request is None or request.binding is None:
+        return
+    if request.binding.step == timer.step:
+        _ask_next(request, state, now, out)
+
+
+def report_outcome(request, outcome, status, answer, state, now, out):
+    """Tell the key's home how the run ended, until it acknowledges."""
+    _key, grant_id, digest = request.grant
+    _report(grant_id, digest, outcome, status, answer, state, now, out)
+
+
+def fire_report(timer, state, now, out):
+    """Report an outcome again."""
+    report = state.reports.get(timer.grant_id)
+    if report is None:
+        return
+    report.sent += 1
+    owner = report.message.owner
+    holder = state.members.find_holder(owner)
+    if report.sent > MOST_REPORTS or holder is None:
+        del state.reports[timer.grant_id]
+        return
+    state.timers.subscribe(
+        ("report", timer.grant_id), now + REPORT_PERIOD, timer
+    )
+    state.send(holder, report.message, out)
+
+
+def receive_outcome_ack(message, state, sender, now, out):
+    """Stop reporting an outcome."""
+    if state.reports.pop(message.grant_id, None) is not None:
+        state.timers.cancel(("report", message.grant_id))
+
+
+def _start(request, key, state, now, out):
+    request.binding = KeyBinding(key)
+    _ask(request, state, key.home, False, now, out)
+
+
+def _ask_next(request, state, now, out):
+    binding = request.binding
+    binding.step += 1
+    if binding.step == 1 and binding.key.replica != keys.NO_REPLICA:
+        _ask(request, state, binding.key.replica, True, now, out)
+        return
+    if binding.step <= 2:
+        binding.step = 2
+        _ask(request, state, binding.key.home, True, now, out)
+        return
+    _close_binding(request, state)
+    status, title, wait = _ANSWERS[Verdict.UNKNOWN]
+    requests.refuse_request(
+        request, state, status, title, Outcome.UNKNOWN, now, out, wait
+    )
+
+
+def _ask(request, state, owner, refuse, now, out):
+    holder = state.members.find_holder(owner)
+    if holder is None:
+        _ask_next(request, state, now, out)
+        return
+    binding = request.binding
+    binding.decider = owner
+    key = binding.key
+    bind = messages.BindKey(
+        "%s/%d" % (state.node_id, request.request_id),
+        owner,
+        key.replica,
+        key.epoch,
+        key.digest,
+        request.event.body_digest,
+        refuse,
+    )
+    wait = RESOLVE_WAIT if refuse else HOME_WAIT
+    state.timers.subscribe(
+        ("bind", request.request_id),
+        now + wait,
+        BindTimer(request.request_id, binding.step),
+    )
+    state.send(holder, bind, out)
+
+
+def _close_binding(request, state):
+    request.binding = None
+    state.timers.cancel(("bind", request.request_id))
+
+
+def _answer_ran(request, message, state, now, out):
+    answer = events.StoredAnswer(
+        message.status, message.content_type, message.body
+    )
+    requests.answer_stored(request, state, answer, now, out)
+
+
+def _release(message, state, sender, now, out):
+    _report(
+        message.grant_id,
+        message.key,
+        Outcome.NOT_RUN,
+        0,
+        None,
+        state,
+        now,
+        out,
+    )
+
+
+def _report(grant_id, digest, outcome, status, answer, state, now, out):
+    owner = grant_id.split("/", 1)[0]
+    message = messages.KeyOutcome(
+        owner, digest, grant_id, outcome.value, status
+    )
+    if answer is not None:
+        message.content_type = answer.content_type
+        message.body = answer.body
+    state.reports[grant_id] = Report(message)
+    fire_report(ReportTimer(grant_id), state, now, out)
+
+
+def _name_deciders(digest, claim):
+    return keys.IssuedKey(claim.home, claim.replica, claim.epoch, digest)
+
+
+def _read_request_id(bind_id):
+    return int(bind_id.rpartition("/")[2])
--- /dev/null
+++ b/packages/coordination/acaciafield/configuration.py
@@ -0,0 +1,138 @@
+"""The configuration: a fold over the operators' stream of the log."""
+
+import json
+
+import xxhash
+
+from acaciafield import classes
+from acaciafield import folds
+
+STREAM = "configuration"
+KEPT_VERDICTS = 512
+ACCEPTED = "accepted"
+STALE = "stale"
+INVALID = "invalid"
+
+
+class Item:
+    """One service's configuration, with the offset that brought it."""
+
+    __slots__ = ("offset", "body", "service")
+
+    def __init__(self, offset, body, service):
+        self.offset = offset
+        self.body = body
+        self.service = service
+
+
+class Configuration(folds.LogFold):
+    """All services' configuration, and the verdicts on recent changes.
+
+    >>> config = Configuration()
+    >>> change = make_change("c1", {"prices": (0, {"classes": {}})})
+    >>> config.read_records(0, [(0, encode_record(change))])
+    []
+    >>> config.verdicts["c1"]
+    [0, 'accepted']
+    """
+
+    __slots__ = ("items", "verdicts", "_digest")
+
+    def __init__(self):
+        super().__init__()
+        self.items = {}
+        self.verdicts = {}
+        self._digest = None
+
+    def find_service(self, name):
+        """Return the ServiceConfig of a service, or None."""
+        item = self.items.get(name)
+        return item.service if item else None
+
+    def read_digest(self):
+        """Return a digest of all items, as 16 hex digits."""
+        if self._digest is None:
+            text = json.dumps(
+                sorted((n, i.offset) for n, i in self.items.items())
+            )
+            self._digest = xxhash.xxh3_64_hexdigest(text.encode())
+        return self._digest
+
+    def fold_record(self, offset, record):
+        """Take in a change; every reader gives it the same verdict."""
+        if record["kind"] != "change":
+            raise ValueError("unknown kind")
+        change_id = str(record["id"])
+        if change_id in self.verdicts:
+            return
+        verdict = self._judge(record["items"])
+        if verdict == ACCEPTED:
+            for name, item in record["items"].items():
+                self._put(name, offset + 1, item["body"])
+        self.verdicts[change_id] = [offset, verdict]
+        while len(self.verdicts) > KEPT_VERDICTS:
+            del self.verdicts[next(iter(self.verdicts))]
+
+    def take_snapshot(self):
+        """Return the state as a snapshot record."""
+        return {
+            "kind": "snapshot",
+            "upto": self.offset,
+            "items": {
+                name: {"offset": item.offset, "body": item.body}
+                for name, item in self.items.items()
+            },
+            "verdicts": self.verdicts,
+        }
+
+    def load_snapshot(self, snapshot):
+        """Replace the state by a snapshot's."""
+        items = {
+            name: (item["offset"], item["body"])
+            for name, item in snapshot["items"].items()
+        }
+        self.verdicts = dict(snapshot["verdicts"])
+        self.items = {}
+        for name, (offset, body) in items.items():
+            self._put(name, offset, body)
+        self._digest = None
+
+    def _judge(self, items):
+        for name, item in items.items():
+            known = self.items.get(name)
+            if known is not None and known.offset > item["base"]:
+                return STALE
+        for name, item in items.items():
+            if item["body"] is not None:
+                if classes.check_service(name, item["body"]).is_error():
+                    return INVALID
+        return ACCEPTED
+
+    def _put(self, name, offset, body):
+        self._digest = None
+        service = None
+        if body is not None:
+            service = classes.check_service(name, body).ok
+        self.items[name] = Item(offset, body, service)
+
+
+def make_change(change_id, items, author=""):
+    """Return a change record.
+
+    ``items`` maps a service to its base offset and its body; a body of
+    None removes the service.
+    """
+    return {
+        "kind": "change",
+        "id": change_id,
+        "author": author,
+        "items": {
+            name: {"base": base, "body": body}
+            for name, (base, body) in items.items()
+        },
+    }
+
+
+def encode_record(record):
+    """Return a record as the bytes that go into the log."""
+    return json.dumps(record, sort_keys=True).encode()
--- /dev/null
+++ b/packages/coordination/acaciafield/handover.py
@@ -0,0 +1,174 @@
+"""A planned stop: leave, hand the key records over, wait, exit."""
+
+import enum
+
+from acaciafield import effects
+from acaciafield import membership
+from acaciafield import messages
+from acaciafield import placement
+from acaciafield import records
+from acaciafield import structs
+
+ANSWER_VALIDITY = 30.0  # seconds for which callers keep an address answer
+RESEND = 0.5  # seconds
+PART_SIZE = 200  # records in one message
+DRAIN_CHECK = 0.2  # seconds
+
+
+class Phase(enum.Enum):
+    """How far a planned stop has come."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    HANDING_OVER = "handing-over"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Stopping:
+    """The state of a planned stop."""
+
+    __slots__ = ("phase", "successor", "unacked", "asked_again", "validity")
+
+    def __init__(self, validity):
+        self.phase = Phase.SERVING
+        self.successor = None
+        self.unacked = {}
+        self.asked_again = 0
+        self.validity = validity
+
+
+class StopTimer(structs.Struct):
+    """The next step of a planned stop is due."""
+
+    __slots__ = ()
+
+
+def ask_stop(state, now, out):
+    """Leave: no more new work, while stale callers are still served."""
+    stopping = state.stopping
+    if stopping.phase is not Phase.SERVING:
+        stopping.asked_again += 1
+        return
+    stopping.phase = Phase.LEAVING
+    membership.announce(state, status=membership.LEAVING)
+    membership.push_config(state, out)
+    out.append(effects.Note("stop", "Leaving; serving on for a while."))
+    state.timers.subscribe("stop", now + stopping.validity, StopTimer())
+
+
+def fire_stop(timer, state, now, out):
+    """Take the next step of a planned stop."""
+    stopping = state.stopping
+    if stopping.phase is Phase.LEAVING:
+        if any(r.binding for r in state.requests.values()):
+            state.timers.subscribe("stop", now + DRAIN_CHECK, timer)
+            return
+        _hand_over(state, now, out)
+        return
+    if stopping.phase is Phase.HANDING_OVER:
+        _hand_over_again(state, now, out)
+        return
+    if stopping.phase is not Phase.DRAINING:
+        return
+    if state.requests or state.reports:
+        state.timers.subscribe("stop", now + DRAIN_CHECK, timer)
+        return
+    _forward_late(state, out)
+    stopping.phase = Phase.GONE
+    membership.announce(state, status=membership.DEAD)
+    membership.push_config(state, out)
+    out.append(effects.Note("stop", "Stopped; nothing was cut."))
+    out.append(effects.Exit())
+
+
+def receive_handover(message, state, sender, now, out):
+    """Adopt a part of a stopping node's records."""
+    table = state.tables.get(message.owner)
+    if table is None:
+        table = records.KeyTable(message.owner, own=False)
+        state.tables[message.owner] = table
+    for record in message.records:
+        known = table.records.get(record.key)
+        if known is None or known.state == records.KeyState.STARTED.value:
+            table.records[record.key] = record
+    if message.owner not in state.members.own.adopted:
+        adopted = tuple(state.members.own.adopted) + (message.owner,)
+        membership.announce(state, adopted=adopted)
+        membership.push_config(state, out)
+    ack = messages.HandoverAck(message.owner, message.part)
+    state.send(sender, ack, out)
+
+
+def receive_handover_ack(message, state, sender, now, out):
+    """Go on once the successor holds every part."""
+    stopping = state.stopping
+    stopping.unacked.pop((message.owner, message.part), None)
+    if stopping.phase is Phase.HANDING_OVER and not stopping.unacked:
+        _start_draining(state, now, out)
+
+
+def _hand_over(state, now, out):
+    stopping = state.stopping
+    stopping.phase = Phase.HANDING_OVER
+    records.seal_tables(state, out)
+    stopping.successor = _choose_successor(state)
+    if stopping.successor is None:
+        _start_draining(state, now, out)
+        return
+    stopping.unacked = {}
+    for owner, table in state.tables.items():
+        for part in _split(owner, list(table.records.values())):
+            stopping.unacked[owner, part.part] = part
+    _send_parts(state, now, out)
+
+
+def _hand_over_again(state, now, out):
+    stopping = state.stopping
+    member = state.members.table.get(stopping.successor)
+    alive = state.members.is_alive(stopping.successor)
+    if not alive or member is None or member.leaving:
+        _hand_over(state, now, out)
+        return
+    _send_parts(state, now, out)
+
+
+def _send_parts(state, now, out):
+    for part in state.stopping.unacked.values():
+        state.send(state.stopping.successor, part, out)
+    state.timers.subscribe("stop", now + RESEND, StopTimer())
+
+
+def _start_draining(state, now, out):
+    state.stopping.phase = Phase.DRAINING
+    out.append(effects.Note("stop", "Waiting for the last requests."))
+    state.timers.subscribe("stop", now + DRAIN_CHECK, StopTimer())
+
+
+def _forward_late(state, out):
+    """Send records again that were settled during the drain."""
+    if state.stopping.successor is None:
+        return
+    for owner, table in state.tables.items():
+        for part in _split(owner, list(table.records.values())):
+            state.send(state.stopping.successor, part, out)
+
+
+def _choose_successor(state):
+    usable = [n for n in state.members.list_usable() if n != state.node_id]
+    ranked = placement.rank_nodes(state.node_id, usable, 1)
+    return ranked[0] if ranked else None
+
+
+def _split(owner, found):
+    count = max(1, -(-len(found) // PART_SIZE))
+    return [
+        messages.RecordsHandover(
+            owner,
+            number,
+            count,
+            found[number * PART_SIZE : (number + 1) * PART_SIZE],
+            [],
+        )
+        for number in range(count)
+    ]
--- /dev/null
+++ b/packages/coordination/acaciafield/keys.py
@@ -0,0 +1,92 @@
+"""Idempotency keys that name the nodes which decide about them.
+
+An issued key is ``af1-<home>-<replica>-<epoch>.<suffix>``. Home and
+replica are node incarnations: running needs the consent of both, so
+either alone can answer, and refuse, for good.
+"""
+
+import re
+
+import expression
+import xxhash
+
+from acaciafield import structs
+
+EPOCH_LENGTH = 600.0  # seconds for which a prefix serves new keys, at least
+OPEN_EPOCHS = 2  # the current epoch and those just before it
+KEPT_EPOCHS = 8  # epochs whose records are kept in memory
+NO_REPLICA = "none"
+MAX_KEY_LENGTH = 200  # characters
+_ISSUED = re.compile(
+    r"^af1-([A-Za-z0-9_]+)-([A-Za-z0-9_]+)-([0-9]{1,12})\.([!-~]{1,120})$"
+)
+_OPAQUE = re.compile(r'^"?[!-~]{1,198}"?$')
+
+
+class IssuedKey(structs.Struct):
+    """A key whose prefix the fleet issued: its deciders and epoch."""
+
+    __slots__ = ("home", "replica", "epoch", "digest")
+
+
+class OpaqueKey(structs.Struct):
+    """A key of the caller's own making."""
+
+    __slots__ = ("digest",)
+
+
+def issue_prefix(home, replica, now):
+    """Return the prefix for keys decided by ``home`` and ``replica``."""
+    epoch = read_epoch(now)
+    return "af1-%s-%s-%d" % (home, replica or NO_REPLICA, epoch)
+
+
+def read_epoch(now):
+    """Return the number of the epoch that ``now`` (seconds) lies in."""
+    return int(now // EPOCH_LENGTH)
+
+
+def is_epoch_open(epoch, now):
+    """Tell whether new keys of the epoch may still run."""
+    return epoch > read_epoch(now) - OPEN_EPOCHS
+
+
+def is_epoch_kept(epoch, now):
+    """Tell whether records of the epoch are still in memory."""
+    return epoch > read_epoch(now) - KEPT_EPOCHS
+
+
+def parse_key(service, text):
+    """Return a Result with an IssuedKey or OpaqueKey, or the finding.
+
+    >>> parse_key("orders", "af1-n1_5-n2_7-12.a").ok.home
+    'n1_5'
+    >>> parse_key("orders", "").error
+    'The Idempotency-Key is empty.'
+    """
+    if not text:
+        return expression.Error("The Idempotency-Key is empty.")
+    if len(text) > MAX_KEY_LENGTH:
+        return expression.Error(
+            "The Idempotency-Key has over %d characters." % MAX_KEY_LENGTH
+        )
+    digest = digest_text(service, text)
+    found = _ISSUED.match(text)
+    if found:
+        home, replica, epoch, _suffix = found.groups()
+        return expression.Ok(IssuedKey(home, replica, int(epoch), digest))
+    if text.startswith("af1-"):
+        return expression.Error(
+            "The Idempotency-Key starts like an issued prefix "
+            "but does not read on as one."
+        )
+    if not _OPAQUE.match(text):
+        return expression.Error(
+            "The Idempotency-Key has a character outside printable ASCII."
+        )
+    return expression.Ok(OpaqueKey(digest))
+
+
+def digest_text(*parts):
+    """Return a 128-bit digest of the parts as 32 hex digits."""
+    return xxhash.xxh3_128_hexdigest("\x00".join(parts).encode())
--- /dev/null
+++ b/packages/coordination/acaciafield/node.py
@@ -0,0 +1,122 @@
+"""The public facade: one node of the fleet, driven from outside.
+
+Feed events with times of your own clock, carry out the effects, and
+call again no later than ``next_due``:
+
+>>> from acaciafield import configuration, effects, events
+>>> node = Node("n1", seed=1)
+>>> isinstance(node.start(0.0)[0], effects.ReadLog)
+True
+>>> body = {"classes": {"price-checks": {"target": "quick"}}}
+>>> change = configuration.make_change("c1", {"prices": (0, body)})
+>>> record = configuration.encode_record(change)
+>>> _ = node.handle(events.LogRead(
+...     0.1, configuration.STREAM, 0, [(0, record)]))
+>>> hosts = [messages.HostEntry("w1", "127.0.0.1:9001", "a", slots=2)]
+>>> asked = node.handle(events.RequestArrived(0.2, 1, "prices", "GET"))
+>>> [type(effect).__name__ for effect in asked]
+['ReadHosts']
+>>> granted = node.handle(events.HostsRead(0.3, "prices", hosts))
+>>> [effect.worker_id for effect in granted]
+['w1']
+"""
+
+from acaciafield import events
+from acaciafield import following
+from acaciafield import handover
+from acaciafield import keys
+from acaciafield import membership
+from acaciafield import messages
+from acaciafield import placement
+from acaciafield import records
+from acaciafield import reducer
+from acaciafield import requests
+from acaciafield import state as states
+from acaciafield import structs
+
+MOST_ADDRESSES = 3
+
+
+class AddressAnswer(structs.Struct):
+    """Which addresses a caller is to use, best first.
+
+    ``validity`` is in seconds; ``key_prefix`` begins the keys of work
+    that may run only once.
+    """
+
+    __slots__ = ("addresses", "validity", "key_prefix")
+
+
+class Node:
+    """One node: state inside, events in, effects out."""
+
+    __slots__ = ("state",)
+
+    def __init__(
+        self,
+        node_id,
+        seed,
+        ip="127.0.0.1",
+        http_port=0,
+        peer_port=0,
+        availability_zone="a",
+        validity=handover.ANSWER_VALIDITY,
+    ):
+        own = messages.MemberUpdate(
+            node_id, ip, http_port, peer_port, availability_zone
+        )
+        self.state = states.NodeState(own, seed, validity)
+
+    @property
+    def node_id(self):
+        """The identifier of this run of the node."""
+        return self.state.node_id
+
+    @property
+    def stopping(self):
+        """The handover.Phase of a planned stop."""
+        return self.state.stopping.phase
+
+    def start(self, now):
+        """Begin; return the first effects."""
+        out = []
+        self.state.now = now
+        membership.start_membership(self.state, now)
+        records.start_records(self.state, now)
+        following.start_following(self.state, now, out)
+        return out
+
+    def handle(self, event):
+        """Take an event in; return the effects to carry out."""
+        return reducer.reduce_event(self.state, event)
+
+    def tick(self, now):
+        """Fire the timers that are due; return the effects."""
+        return self.handle(events.Tick(now))
+
+    def next_due(self):
+        """Return when ``tick`` is needed next, in seconds, or None."""
+        return self.state.timers.next_due()
+
+    def find_addresses(self, service, now):
+        """Return the AddressAnswer for a service, or None if unready.
+
+        The first address is the service's keeper, which grants slots
+        without asking another node; the next would succeed it.
+        """
+        if not self.state.config.serving:
+            return None
+        usable = self.state.members.list_usable()
+        if not usable:
+            return None
+        ranked = requests.rank_keepers(self.state, service)
+        ranked = ranked[:MOST_ADDRESSES]
+        home = ranked[0]
+        others = [n for n in usable if n != home]
+        replicas = placement.rank_nodes(home, others, 1)
+        replica = replicas[0] if replicas else None
+        updates = [self.state.members.get_update(n) for n in ranked]
+        addresses = ["%s:%d" % (u.ip, u.http_port) for u in updates]
+        prefix = keys.issue_prefix(home, replica, now)
+        validity = self.state.stopping.validity
+        return AddressAnswer(addresses, validity, prefix)
--- /dev/null
+++ b/packages/coordination/acaciafield/placement.py
@@ -0,0 +1,23 @@
+"""Placement of services on nodes by rendezvous hashing.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase
+hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+import heapq
+
+import xxhash
+
+
+def rank_nodes(name, node_ids, count):
+    """Return the ``count`` best nodes for ``name``, best first.
+
+    >>> rank_nodes("prices", ["a", "b", "c"], 2)
+    ['c', 'a']
+    """
+    return heapq.nlargest(count, node_ids, key=lambda n: _weigh(name, n))
+
+
+def _weigh(name, node_id):
+    text = "%s|%s" % (name, node_id)
+    return (xxhash.xxh3_64_intdigest(text.encode()), node_id)
--- /dev/null
+++ b/packages/coordination/acaciafield/records.py
@@ -0,0 +1,321 @@
+"""Key records: the memory by which a node decides about keys.
+
+A key's home lets it run only when its replica consents, so each of the
+two alone can tell that a key never ran, and make sure that it never
+will. The states follow "Idempotency Key Patterns for Asynchronous
+Event-Driven Architectures"; its expiry of the in-progress lock is left
+out, since it runs work again after a mere pause.
+"""
+
+import enum
+
+from acaciafield import keys
+from acaciafield import messages
+from acaciafield import outcomes
+from acaciafield import structs
+
+REPLICA_WAIT = 0.25  # seconds for the replica's consent
+MOST_RECORDS = 60000  # records of one node, both roles together
+SWEEP_PERIOD = 30.0  # seconds between sweeps of old epochs
+SMALL_ANSWER = 4096  # bytes of the largest answer that is stored
+
+
+class KeyState(enum.Enum):
+    """How far the run of a key has come."""
+
+    PENDING = "pending"
+    STARTED = "started"
+    RELEASED = "released"
+    REFUSED = "refused"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+class Verdict(enum.Enum):
+    """What a decider answers about a key."""
+
+    RUN = "run"
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    EXPIRED = "expired"
+    IN_PROGRESS = "in-progress"
+    UNKNOWN = "unknown"
+    MISMATCH = "mismatch"
+    FULL = "full"
+    SEALED = "sealed"
+
+
+_SETTLED = {
+    KeyState.REFUSED: Verdict.EXPIRED,
+    KeyState.FINISHED: Verdict.RAN,
+    KeyState.UNKNOWN: Verdict.UNKNOWN,
+    KeyState.PENDING: Verdict.IN_PROGRESS,
+    KeyState.STARTED: Verdict.IN_PROGRESS,
+}
+
+
+_FENCED = (KeyState.REFUSED.value, KeyState.RELEASED.value)
+
+
+class ReplicaTimer(structs.Struct):
+    """The replica did not answer in time."""
+
+    __slots__ = ("key", "grant_id")
+
+
+class SweepTimer(structs.Struct):
+    """Records of old epochs are to be dropped."""
+
+    __slots__ = ()
+
+
+class KeyTable:
+    """The records that one node decides by.
+
+    ``own`` tells whether the node itself is the owner; an adopted
+    table answers but lets nothing new run.
+    """
+
+    __slots__ = ("owner", "own", "sealed", "records", "waiting")
+
+    def __init__(self, owner, own):
+        self.owner = owner
+        self.own = own
+        self.sealed = not own
+        self.records = {}
+        self.waiting = {}
+
+
+class Asker:
+    """Who is to be told the verdict on a pending key."""
+
+    __slots__ = ("node_id", "bind_id")
+
+    def __init__(self, node_id, bind_id):
+        self.node_id = node_id
+        self.bind_id = bind_id
+
+
+def start_records(state, now):
+    """Begin the sweeps of old epochs."""
+    due = now + SWEEP_PERIOD
+    state.timers.subscribe("key-sweep", due, SweepTimer())
+
+
+def fire_sweep(timer, state, now, out):
+    """Drop the records of epochs that are no longer kept."""
+    state.timers.subscribe("key-sweep", now + SWEEP_PERIOD, timer)
+    for table in list(state.tables.values()):
+        old = [
+            key
+            for key, record in table.records.items()
+            if not keys.is_epoch_kept(record.epoch, now)
+        ]
+        for key in old:
+            del table.records[key]
+        if not table.own and not table.records and old:
+            del state.tables[table.owner]
+
+
+def receive_bind(message, state, sender, now, out):
+    """Decide whether the request with this key may run."""
+    table = state.tables.get(message.owner)
+    if table is None:
+        _answer(state, sender, message, Verdict.SEALED, None, out)
+        return
+    record = table.records.get(message.key)
+    if record is not None and record.body_digest != message.body_digest:
+        if record.state not in _FENCED:
+            _answer(state, sender, message, Verdict.MISMATCH, None, out)
+            return
+    known = KeyState(record.state) if record is not None else None
+    if known in _SETTLED:
+        verdict = _SETTLED[known]
+        if message.refuse and known is KeyState.PENDING:
+            _settle_pending(state, table, record, KeyState.REFUSED, out)
+            verdict = Verdict.EXPIRED
+        elif known is KeyState.STARTED and _is_lost(state, message, record):
+            verdict = Verdict.UNKNOWN
+        _answer(state, sender, message, verdict, record, out)
+        return
+    _decide_new(state, table, message, sender, now, out)
+
+
+def fire_replica(timer, state, now, out):
+    """Give a run up whose replica kept silent."""
+    table = state.tables[state.node_id]
+    record = table.records.get(timer.key)
+    if record is None or record.grant_id != timer.grant_id:
+        return
+    if record.state == KeyState.PENDING.value:
+        _settle_pending(state, table, record, KeyState.RELEASED, out)
+
+
+def receive_replicate(message, state, sender, now, out):
+    """As replica, consent to a run unless the key was refused."""
+    table = state.tables.get(message.owner)
+    record = message.record
+    if record.state != KeyState.STARTED.value:
+        known = table and table.records.get(record.key)
+        if known and known.grant_id == record.grant_id:
+            table.records[record.key] = record
+        return
+    consents = (
+        table is not None
+        and not table.sealed
+        and keys.is_epoch_open(record.epoch, now)
+        and _count_records(state) < MOST_RECORDS
+        and _may_start(table.records.get(record.key))
+    )
+    if consents:
+        table.records[record.key] = record
+    answer = messages.ReplicaAnswer(
+        message.owner, record.key, record.grant_id, consents
+    )
+    state.send(sender, answer, out)
+
+
+def receive_replica_answer(message, state, sender, now, out):
+    """As home, let the request run if the replica consents."""
+    table = state.tables[state.node_id]
+    record = table.records.get(message.key)
+    if record is None or record.grant_id != message.grant_id:
+        return
+    if record.state != KeyState.PENDING.value:
+        return
+    if message.consents and not table.sealed:
+        _settle_pending(state, table, record, KeyState.STARTED, out)
+    else:
+        _settle_pending(state, table, record, KeyState.REFUSED, out)
+
+
+def receive_outcome(message, state, sender, now, out):
+    """Record how a run ended."""
+    table = state.tables.get(message.owner)
+    if table is None:
+        return
+    state.send(sender, messages.KeyOutcomeAck(message.grant_id), out)
+    record = table.records.get(message.key)
+    if record is None or record.grant_id != message.grant_id:
+        return
+    if record.state != KeyState.STARTED.value:
+        return
+    outcome = outcomes.Outcome(message.outcome)
+    if outcome is outcomes.Outcome.RAN:
+        record.state = KeyState.FINISHED.value
+        record.status = message.status
+        record.content_type = message.content_type
+        record.body = message.body[:SMALL_ANSWER]
+    elif outcome is outcomes.Outcome.NOT_RUN:
+        record.state = KeyState.RELEASED.value
+    else:
+        record.state = KeyState.UNKNOWN.value
+    replica = state.replicas.pop(message.grant_id, None)
+    if replica is not None and state.members.is_alive(replica):
+        update = messages.ReplicateKey(replica, record, record.epoch)
+        state.send(replica, update, out)
+
+
+def seal_tables(state, out):
+    """Let nothing new run by this node's records."""
+    for table in state.tables.values():
+        table.sealed = True
+        for key in list(table.waiting):
+            record = table.records[key]
+            _settle_pending(state, table, record, KeyState.REFUSED, out)
+
+
+def _decide_new(state, table, message, sender, now, out):
+    verdict = _find_bar(state, table, message, now)
+    if verdict is not None:
+        _answer(state, sender, message, verdict, None, out)
+        return
+    if message.refuse:
+        record = _make_record(message, KeyState.REFUSED, "")
+        table.records[message.key] = record
+        _answer(state, sender, message, Verdict.EXPIRED, record, out)
+        return
+    state.grants += 1
+    grant_id = "%s/%d/%s" % (state.node_id, state.grants, sender)
+    record = _make_record(message, KeyState.PENDING, grant_id)
+    table.records[message.key] = record
+    table.waiting[message.key] = Asker(sender, message.bind_id)
+    if message.replica == keys.NO_REPLICA:
+        _settle_pending(state, table, record, KeyState.STARTED, out)
+        return
+    if not state.members.is_alive(message.replica):
+        _settle_pending(state, table, record, KeyState.REFUSED, out)
+        return
+    state.replicas[grant_id] = message.replica
+    asked = _make_record(message, KeyState.STARTED, grant_id)
+    replicate = messages.ReplicateKey(message.replica, asked, message.epoch)
+    state.send(message.replica, replicate, out)
+    state.timers.subscribe(
+        ("replica", grant_id),
+        now + REPLICA_WAIT,
+        ReplicaTimer(message.key, grant_id),
+    )
+
+
+def _find_bar(state, table, message, now):
+    if not keys.is_epoch_kept(message.epoch, now):
+        return Verdict.UNKNOWN
+    if table.sealed or not keys.is_epoch_open(message.epoch, now):
+        return Verdict.EXPIRED
+    if _count_records(state) >= MOST_RECORDS:
+        return Verdict.FULL
+    return None
+
+
+def _is_lost(state, message, record):
+    """Tell whether nobody is left to report the run's outcome."""
+    entry = record.grant_id.rpartition("/")[2]
+    return message.refuse or not state.members.is_alive(entry)
+
+
+def _settle_pending(state, table, record, settled, out):
+    record.state = settled.value
+    state.timers.cancel(("replica", record.grant_id))
+    asker = table.waiting.pop(record.key, None)
+    if settled is not KeyState.STARTED:
+        state.replicas.pop(record.grant_id, None)
+    if asker is None:
+        return
+    verdict = {
+        KeyState.STARTED: Verdict.RUN,
+        KeyState.RELEASED: Verdict.NOT_RUN,
+        KeyState.REFUSED: Verdict.EXPIRED,
+    }[settled]
+    bind = messages.BindKey(asker.bind_id, table.owner, "", 0, record.key, "")
+    _answer(state, asker.node_id, bind, verdict, record, out)
+
+
+def _answer(state, node_id, bind, verdict, record, out):
+    answer = messages.KeyVerdict(bind.bind_id, bind.key, verdict.value)
+    if verdict is Verdict.RUN:
+        answer.grant_id = record.grant_id
+    if verdict is Verdict.RAN:
+        answer.status = record.status
+        answer.content_type = record.content_type
+        answer.body = record.body
+    state.send(node_id, answer, out)
+
+
+def _make_record(message, key_state, grant_id):
+    return messages.KeyRecord(
+        message.key,
+        message.epoch,
+        key_state.value,
+        message.body_digest,
+        grant_id,
+    )
+
+
+def _may_start(record):
+    if record is None:
+        return True
+    return record.state in (KeyState.STARTED.value, KeyState.RELEASED.value)
+
+
+def _count_records(state):
+    return sum(len(t.records) for t in state.tables.values())
--- /dev/null
+++ b/packages/coordination/acaciafield/reducer.py
@@ -0,0 +1,169 @@
+"""The one reducer: ``reduce_event(state, event)`` gives the effects.
+
+Events, messages and timers are each dispatched on their type to the
+part that deals with them.
+"""
+
+import functools
+
+from acaciafield import binding
+from acaciafield import claims
+from acaciafield import effects
+from acaciafield import events
+from acaciafield import following
+from acaciafield import handover
+from acaciafield import membership
+from acaciafield import messages
+from acaciafield import permits
+from acaciafield import records
+from acaciafield import requests
+
+
+def reduce_event(state, event):
+    """Apply an event to the state; return the effects it asks for."""
+    out = []
+    now = event.now
+    state.now = now
+    _apply(event, state, now, out)
+    while state.local:
+        _receive(state.local.popleft(), state, state.node_id, now, out)
+    return out
+
+
+def fire_timers(state, now, out):
+    """Fire the timers that are due, and carry local messages."""
+    for timer in state.timers.pop_due(now):
+        _fire(timer, state, now, out)
+        while state.local:
+            message = state.local.popleft()
+            _receive(message, state, state.node_id, now, out)
+
+
+@functools.singledispatch
+def _apply(event, state, now, out):
+    raise TypeError("unknown event %r" % (event,))
+
+
+@_apply.register
+def _apply_tick(event: events.Tick, state, now, out):
+    fire_timers(state, now, out)
+
+
+@_apply.register
+def _apply_message(event: events.MessageReceived, state, now, out):
+    _receive(event.message, state, event.sender, now, out)
+
+
+@_apply.register
+def _apply_request(event: events.RequestArrived, state, now, out):
+    requests.arrive(event, state, now, out)
+
+
+@_apply.register
+def _apply_caller_gone(event: events.CallerGone, state, now, out):
+    requests.lose_caller(event, state, now, out)
+
+
+@_apply.register
+def _apply_head(event: events.AttemptHead, state, now, out):
+    requests.take_head(event, state, now, out)
+
+
+@_apply.register
+def _apply_end(event: events.AttemptEnded, state, now, out):
+    requests.take_end(event, state, now, out)
+
+
+@_apply.register
+def _apply_hosts(event: events.HostsRead, state, now, out):
+    following.take_hosts(event, state, now, out)
+
+
+@_apply.register
+def _apply_log_read(event: events.LogRead, state, now, out):
+    following.take_records(event, state, now, out)
+
+
+@_apply.register
+def _apply_log_read_failed(event: events.LogReadFailed, state, now, out):
+    following.note_outage(event, state, now, out)
+
+
+@_apply.register
+def _apply_appended(event: events.LogAppended, state, now, out):
+    following.take_append(event, state, now, out)
+
+
+@_apply.register
+def _apply_append_failed(event: events.LogAppendFailed, state, now, out):
+    following.read_again(event, state, now, out)
+
+
+@_apply.register
+def _apply_stop(event: events.StopAsked, state, now, out):
+    handover.ask_stop(state, now, out)
+
+
+@functools.singledispatch
+def _receive(message, state, sender, now, out):
+    out.append(effects.Note("peers", "An unknown message was dropped."))
+
+
+@functools.singledispatch
+def _fire(timer, state, now, out):
+    raise TypeError("unknown timer %r" % (timer,))
+
+
+for _kind, _handler in (
+    (messages.Ping, membership.receive_ping),
+    (messages.Ack, membership.receive_ack),
+    (messages.PingRequest, membership.receive_ping_request),
+    (messages.Join, membership.receive_join),
+    (messages.Welcome, membership.receive_welcome),
+    (messages.ConfigFetch, following.receive_fetch),
+    (messages.ConfigState, following.receive_state),
+    (messages.ClaimsFetch, following.receive_claims_fetch),
+    (messages.ClaimsState, following.receive_claims_state),
+    (messages.HostsNotice, following.receive_hosts),
+    (messages.PermitRequest, permits.receive_request),
+    (messages.PermitGrant, requests.receive_grant),
+    (messages.PermitRefused, requests.receive_refused),
+    (messages.PermitQueued, requests.receive_queued),
+    (messages.PermitHead, permits.receive_head),
+    (messages.PermitDone, permits.receive_done),
+    (messages.PermitHeld, permits.receive_held),
+    (messages.CrashNotice, permits.receive_crash),
+    (messages.BindKey, records.receive_bind),
+    (messages.KeyVerdict, binding.receive_verdict),
+    (messages.KeyOutcome, records.receive_outcome),
+    (messages.KeyOutcomeAck, binding.receive_outcome_ack),
+    (messages.ReplicateKey, records.receive_replicate),
+    (messages.ReplicaAnswer, records.receive_replica_answer),
+    (messages.RecordsHandover, handover.receive_handover),
+    (messages.HandoverAck, handover.receive_handover_ack),
+):
+    _receive.register(_kind, _handler)
+
+for _kind, _handler in (
+    (membership.ProbeTimer, membership.fire_probe),
+    (membership.DirectTimer, membership.fire_direct),
+    (membership.ProbeEndTimer, membership.fire_probe_end),
+    (membership.SuspicionTimer, membership.fire_suspicion),
+    (membership.RejoinTimer, membership.fire_rejoin),
+    (following.ReadTimer, following.fire_read),
+    (following.SeedsTimer, following.fire_seeds),
+    (permits.JudgeTimer, permits.fire_judge),
+    (permits.HostsTimer, permits.fire_hosts),
+    (requests.DeadlineTimer, requests.fire_deadline),
+    (requests.KeeperTimer, requests.fire_keeper),
+    (requests.HedgeTimer, requests.fire_hedge),
+    (requests.RetryTimer, requests.fire_retry),
+    (records.ReplicaTimer, records.fire_replica),
+    (records.SweepTimer, records.fire_sweep),
+    (binding.BindTimer, binding.fire_bind),
+    (binding.ReportTimer, binding.fire_report),
+    (claims.ClaimTimer, claims.fire_claim),
+    (claims.ClaimWaitTimer, claims.fire_claim_wait),
+    (handover.StopTimer, handover.fire_stop),
+):
+    _fire.register(_kind, _handler)
--- /dev/null
+++ b/packages/coordination/acaciafield/state.py
@@ -0,0 +1,122 @@
+"""A node's whole state, and the services its parts ask of it."""
+
+import collections
+import random
+
+from acaciafield import binding
+from acaciafield import claims
+from acaciafield import configuration
+from acaciafield import effects
+from acaciafield import following
+from acaciafield import handover
+from acaciafield import membership
+from acaciafield import placement
+from acaciafield import records
+from acaciafield import requests
+from acaciafield import timers
+
+
+class NodeState:
+    """Everything that a node knows."""
+
+    __slots__ = (
+        "now",
+        "node_id",
+        "random",
+        "timers",
+        "members",
+        "config",
+        "claims",
+        "claiming",
+        "followers",
+        "services",
+        "host_lists",
+        "requests",
+        "reports",
+        "tables",
+        "replicas",
+        "grants",
+        "silent",
+        "keepers",
+        "ranked",
+        "ranked_for",
+        "stopping",
+        "unreadable",
+        "local",
+        "observer",
+    )
+
+    def __init__(self, own, seed, validity=handover.ANSWER_VALIDITY):
+        self.now = 0.0
+        self.node_id = own.node_id
+        self.random = random.Random(seed)
+        self.timers = timers.Timers()
+        self.members = membership.Members(own)
+        self.config = configuration.Configuration()
+        self.claims = claims.Claims()
+        self.claiming = claims.Claiming()
+        self.followers = {
+            configuration.STREAM: following.Follower(self.config),
+            claims.STREAM: following.Follower(self.claims),
+        }
+        self.services = {}
+        self.host_lists = {}
+        self.requests = {}
+        self.reports = {}
+        self.tables = {own.node_id: records.KeyTable(own.node_id, True)}
+        self.replicas = {}
+        self.grants = 0
+        self.silent = {}
+        self.keepers = {}
+        self.ranked = {}
+        self.ranked_for = None
+        self.stopping = handover.Stopping(validity)
+        self.unreadable = 0
+        self.local = collections.deque()
+        self.observer = None
+
+    def send(self, node_id, message, out):
+        """Send a message to a node, which may be this one."""
+        if node_id == self.node_id:
+            self.local.append(message)
+        else:
+            out.append(effects.Send(node_id, message))
+
+    def choose_replica(self):
+        """Return the node that shall consent to runs homed here."""
+        usable = self.members.list_usable()
+        others = [n for n in usable if n != self.node_id]
+        ranked = placement.rank_nodes(self.node_id, others, 1)
+        return ranked[0] if ranked else None
+
+    def compare_config(self, sender, offset, digest, now, out):
+        """Fetch the configuration from a node that is ahead."""
+        following.compare_config(self, sender, offset, digest, now, out)
+
+    def notice_member(self, update, now, out):
+        """React to news of a member: ask its successors at once."""
+        if update.status not in (membership.DEAD, membership.LEAVING):
+            return
+        for request in list(self.requests.values()):
+            requests.leave_keeper(request, update.node_id, self, now, out)
+
+    def bind_key(self, request, key, now, out):
+        """Ask the key's deciders whether the request may run."""
+        binding.bind_key(request, key, self, now, out)
+
+    def settle_claim(self, request_id, claim, now, out):
+        """Go on with a request whose opaque key's claim is settled."""
+        request = self.requests.get(request_id)
+        if request is not None:
+            binding.settle_claim(request, claim, self, now, out)
+
+    def report_outcome(self, request, outcome, status, answer, now, out):
+        """Tell the key's home how the run ended."""
+        binding.report_outcome(
+            request, outcome, status, answer, self, now, out
+        )
+
+    def observe(self, request, outcome, status, now):
+        """Hand a finished request to the observer, if there is one."""
+        if self.observer is not None:
+            self.observer(request, outcome, status, now)
--- /dev/null
+++ b/packages/coordination/acaciafield/workers.py
@@ -0,0 +1,118 @@
+"""What a service's keeper knows of its workers."""
+
+import enum
+
+from acaciafield import judging
+
+COLD_TIME = 10.0  # seconds after its start in which a worker is cold
+COLD_STEP = 2  # answers for which a cold worker gets one more slot
+FORGET_AFTER = 30.0  # seconds unlisted and idle
+
+
+class Status(enum.Enum):
+    """How a worker may be used."""
+
+    HEALTHY = "healthy"
+    COLD = "cold"
+    SUSPECT = "suspect"
+    EJECTED = "ejected"
+    PROBATION = "probation"
+    LEAVING = "leaving"
+
+
+class Flight:
+    """A granted slot in use; ``started`` in seconds."""
+
+    __slots__ = (
+        "permit_id",
+        "worker_id",
+        "node_id",
+        "class_name",
+        "finish",
+        "started",
+        "fresh",
+        "solo",
+        "headed",
+        "fingerprint",
+    )
+
+    def __init__(self, permit_id, worker_id, node_id, class_name, started):
+        self.permit_id = permit_id
+        self.worker_id = worker_id
+        self.node_id = node_id
+        self.class_name = class_name
+        self.finish = False
+        self.started = started
+        self.fresh = False
+        self.solo = False
+        self.headed = False
+        self.fingerprint = ""
+
+
+class Worker:
+    """One worker of a service."""
+
+    __slots__ = (
+        "worker_id",
+        "address",
+        "availability_zone",
+        "slots",
+        "status",
+        "started",
+        "answers",
+        "flights",
+        "evidence",
+        "weight",
+        "last_resort",
+        "ejections",
+        "held_until",
+        "good_canaries",
+        "healthy_since",
+        "solo",
+        "shed_until",
+        "bad_paths",
+        "unlisted_since",
+    )
+
+    def __init__(self, entry, now):
+        self.worker_id = entry.host_id
+        self.address = entry.address
+        self.availability_zone = entry.availability_zone
+        self.slots = entry.slots
+        self.started = entry.started
+        self.status = Status.HEALTHY
+        if now - entry.started < COLD_TIME:
+            self.status = Status.COLD
+        self.answers = 0
+        self.flights = {}
+        self.evidence = judging.Evidence()
+        self.weight = 0.0
+        self.last_resort = False
+        self.ejections = 0
+        self.held_until = 0.0
+        self.good_canaries = 0
+        self.healthy_since = now
+        self.solo = None
+        self.shed_until = 0.0
+        self.bad_paths = {}
+        self.unlisted_since = None
+
+    def count_free(self, now):
+        """Return how many more requests the worker may be given."""
+        if self.solo is not None or now < self.shed_until:
+            return 0
+        if self.status is Status.HEALTHY:
+            return self.slots - len(self.flights)
+        if self.status is Status.COLD:
+            warm = 1 + self.answers // COLD_STEP
+            return min(self.slots, warm) - len(self.flights)
+        if self.status is Status.PROBATION:
+            return 1 - len(self.flights)
+        if self.status is Status.SUSPECT:
+            return 0 if any(f.fresh for f in self.flights.values()) else 1
+        return 0
+
+    def is_path_bad(self, node_id, now):
+        """Tell whether the path from a node to this worker is avoided."""
+        until = self.bad_paths.get(node_id)
+        return until is not None and now < until
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: sockets and timers around the coordination library."""
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/callers.py
@@ -0,0 +1,146 @@
+"""The HTTP server for callers and operators."""
+
+import asyncio
+import contextlib
+import itertools
+
+from aiohttp import hdrs
+from aiohttp import web
+import xxhash
+
+from acaciafield import events
+from acaciafield import outcomes
+from acaciafield_daemon import calls
+from acaciafield_daemon import problems
+from acaciafield_daemon import views
+
+OWN_PREFIX = "/.acaciafield/"
+KEY_HEADER = "Idempotency-Key"
+CLASS_HEADER = "Work-Class"
+TIMEOUT_HEADER = "Request-Timeout"
+MOST_TIMEOUT = 86400.0  # seconds
+SERVER_BACKLOG = 1024
+
+NOT_RUN = outcomes.Outcome.NOT_RUN
+
+
+class Callers:
+    """Takes requests in and waits for their answers."""
+
+    __slots__ = ("settings", "driver", "views", "_numbers")
+
+    def __init__(self, settings, driver):
+        self.settings = settings
+        self.driver = driver
+        self.views = views.Views(driver)
+        self._numbers = itertools.count(1)
+
+    @contextlib.asynccontextmanager
+    async def open(self):
+        """Listen for callers."""
+        size = self.settings.get("callers", "head-size")
+        server = web.Server(
+            self.handle,
+            access_log=None,
+            max_line_size=size,
+            max_field_size=size,
+            handler_cancellation=True,
+            auto_decompress=False,
+        )
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        site = web.TCPSite(
+            runner,
+            self.settings.get("node", "ip"),
+            self.settings.get("node", "http-port"),
+            backlog=SERVER_BACKLOG,
+        )
+        await site.start()
+        try:
+            yield self
+        finally:
+            await runner.cleanup()
+
+    async def handle(self, request):
+        """Answer one request of a caller or an operator."""
+        path = request.rel_url.raw_path
+        if path.startswith(OWN_PREFIX):
+            return self.views.answer(request, path[len(OWN_PREFIX) :])
+        service, slash, rest = path[1:].partition("/")
+        if not service or not slash:
+            return _refuse(404, "The path names no service and resource.")
+        timeout = _read_timeout(request)
+        if timeout is False:
+            text = "The Request-Timeout must be a number of seconds."
+            return _refuse(400, text)
+        raw_query = request.rel_url.raw_query_string
+        path = "/%s?%s" % (rest, raw_query) if raw_query else "/" + rest
+        if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body, stream = await self._read_body(request)
+        request_id = next(self._numbers)
+        call = calls.Call(request, request_id, path, body, stream)
+        self.driver.calls[request_id] = call
+        fingerprint, body_digest = _digest(call, service)
+        try:
+            self.driver.feed(
+                events.RequestArrived,
+                request_id,
+                service,
+                request.method,
+                request.headers.get(CLASS_HEADER, ""),
+                request.headers.get(KEY_HEADER),
+                fingerprint,
+                body_digest,
+                timeout,
+                stream is None,
+            )
+            await call.done
+        except asyncio.CancelledError:
+            self.driver.feed(events.CallerGone, request_id)
+            raise
+        finally:
+            self.driver.calls.pop(request_id, None)
+        return call.response or web.Response(status=502)
+
+    async def _read_body(self, request):
+        """Return a small body as bytes, or a large one as a stream."""
+        if not request.body_exists:
+            return b"", None
+        most = self.settings.get("callers", "replay-body")
+        pieces, size = [], 0
+        while size <= most:
+            piece = await request.content.readany()
+            if not piece:
+                return b"".join(pieces), None
+            pieces.append(piece)
+            size += len(piece)
+        return b"".join(pieces), _stream_body(pieces, request.content)
+
+
+async def _stream_body(pieces, content):
+    for piece in pieces:
+        yield piece
+    while piece := await content.readany():
+        yield piece
+
+
+def _digest(call, service):
+    body_digest = xxhash.xxh3_128_hexdigest(call.body)
+    text = "%s %s %s %s" % (service, call.method, call.path, body_digest)
+    return xxhash.xxh3_128_hexdigest(text.encode()), body_digest
+
+
+def _read_timeout(request):
+    text = request.headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        return False
+    return value if 0.0 < value <= MOST_TIMEOUT else False
+
+
+def _refuse(status, title):
+    return problems.make_problem(status, title, NOT_RUN)
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/log.py
@@ -0,0 +1,42 @@
+"""Log lines: short sentences with a fixed prefix for each part."""
+
+import sys
+
+import eliot
+
+REPEAT_LIMIT = 5  # like lines of one part in a period
+REPEAT_PERIOD = 60.0  # seconds
+
+
+class Log:
+    """Writes eliot messages to standard error, and limits repeats."""
+
+    __slots__ = ("node_id", "quiet", "_counts", "_period")
+
+    def __init__(self, node_id, quiet=False):
+        self.node_id = node_id
+        self.quiet = quiet
+        self._counts = {}
+        self._period = 0.0
+
+    def open(self, stream=None):
+        """Send the messages of this process to a stream."""
+        eliot.to_file(stream or sys.stderr)
+
+    def write(self, part, text, now):
+        """Write one line of a part, unless it was said often enough."""
+        if self.quiet:
+            return
+        if now - self._period > REPEAT_PERIOD:
+            self._counts.clear()
+            self._period = now
+        count = self._counts[part, text] = (
+            self._counts.get((part, text), 0) + 1
+        )
+        if count > REPEAT_LIMIT:
+            return
+        eliot.log_message(
+            message_type="acaciafield:%s" % part,
+            text="%s: %s" % (part, text),
+            node=self.node_id,
+        )
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/platform.py
@@ -0,0 +1,94 @@
+"""The platform's services over HTTP: the log and the host list."""
+
+import asyncio
+import base64
+import contextlib
+import json
+
+import aiohttp
+
+from acaciafield import events
+from acaciafield import messages
+
+FAILURES = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    OSError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
+
+
+class Platform:
+    """Reads and appends for a driver; answers come back as events."""
+
+    __slots__ = ("settings", "driver", "session")
+
+    def __init__(self, settings, driver):
+        self.settings = settings
+        self.driver = driver
+        self.session = None
+
+    @contextlib.asynccontextmanager
+    async def open(self):
+        """Hold the connections to the platform."""
+        total = self.settings.get("platform", "timeout")
+        timeout = aiohttp.ClientTimeout(total=total)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            self.session = session
+            yield self
+
+    async def read_log(self, stream, offset):
+        """Read a stream from an offset."""
+        url = "%s/streams/%s" % (self.settings.get("platform", "log"), stream)
+        try:
+            params = {"from": str(offset)}
+            async with self.session.get(url, params=params) as response:
+                response.raise_for_status()
+                document = json.loads(await response.read())
+            records = [
+                (int(r["offset"]), base64.b64decode(r["data"]))
+                for r in document["records"]
+            ]
+            earliest = int(document["earliest"])
+        except FAILURES:
+            self.driver.feed(events.LogReadFailed, stream)
+            return
+        self.driver.feed(events.LogRead, stream, earliest, records)
+
+    async def append(self, stream, append_id, data):
+        """Append to a stream."""
+        url = "%s/streams/%s" % (self.settings.get("platform", "log"), stream)
+        try:
+            async with self.session.post(url, data=data) as response:
+                response.raise_for_status()
+                offset = int(json.loads(await response.read())["offset"])
+        except FAILURES:
+            self.driver.feed(events.LogAppendFailed, append_id)
+            return
+        self.driver.feed(events.LogAppended, append_id, offset)
+
+    async def read_hosts(self, service):
+        """Read the hosts of a service; a failure keeps the former list."""
+        url = "%s/hosts" % self.settings.get("platform", "hosts")
+        try:
+            params = {"service": service}
+            async with self.session.get(url, params=params) as response:
+                response.raise_for_status()
+                document = json.loads(await response.read())
+            hosts = [_read_entry(entry) for entry in document["hosts"]]
+        except FAILURES:
+            return
+        self.driver.feed(events.HostsRead, service, hosts)
+
+
+def _read_entry(entry):
+    return messages.HostEntry(
+        str(entry["id"]),
+        str(entry["address"]),
+        str(entry["availability_zone"]),
+        str(entry["state"]),
+        int(entry["slots"]),
+        float(entry.get("started", 0.0)),
+    )
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/settings.py
@@ -0,0 +1,297 @@
+"""Settings of the daemon: one table of defaults, checked in one pass."""
+
+import configparser
+import ipaddress
+import re
+import urllib.parse
+
+import expression
+
+from acaciafield import structs
+
+
+class Option(structs.Struct):
+    """One setting: ``read`` turns its text into a value or raises."""
+
+    __slots__ = ("section", "name", "default", "unit", "read", "meaning")
+
+
+class Finding(structs.Struct):
+    """One fault of a settings file and its place."""
+
+    __slots__ = ("file", "line", "section", "option", "text")
+
+    def __str__(self):
+        place = "%s:%d" % (self.file, self.line)
+        if self.section:
+            place += " [%s]" % self.section
+        if self.option:
+            place += " %s" % self.option
+        return "%s: %s" % (place, self.text)
+
+
+def read_name(text):
+    """Read a node's name."""
+    if not re.fullmatch(r"[A-Za-z0-9]{1,24}", text):
+        raise ValueError("must be 1 to 24 letters or digits")
+    return text
+
+
+def read_ip(text):
+    """Read an IP number."""
+    try:
+        return str(ipaddress.ip_address(text))
+    except ValueError:
+        raise ValueError("must be an IP number") from None
+
+
+def read_port(text):
+    """Read a port number."""
+    return read_whole(text, 1, 65535)
+
+
+def read_zone(text):
+    """Read the name of an availability zone."""
+    if not re.fullmatch(r"[A-Za-z0-9.-]{1,32}", text):
+        raise ValueError("must be 1 to 32 letters, digits, dots or dashes")
+    return text
+
+
+def read_url(text):
+    """Read the URL of a platform's service."""
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError("must be an http or https URL")
+    return text.rstrip("/")
+
+
+def read_whole(text, least, most):
+    """Read a whole number within bounds."""
+    if not re.fullmatch(r"[0-9]+", text) or not least <= int(text) <= most:
+        raise ValueError(
+            "must be a whole number from %d to %d" % (least, most)
+        )
+    return int(text)
+
+
+def read_seconds(text):
+    """Read a positive time in seconds."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = 0.0
+    if not 0.0 < value <= 86400.0:
+        raise ValueError("must be a number of seconds, over 0")
+    return value
+
+
+def read_level(text):
+    """Read a log level."""
+    if text not in ("quiet", "info"):
+        raise ValueError("must be quiet or info")
+    return text
+
+
+def _read_size(text):
+    return read_whole(text, 1024, 1 << 30)
+
+
+def _read_seed(text):
+    return read_whole(text, 0, 2**63)
+
+
+REQUIRED = None
+OPTIONS = (
+    Option("node", "name", REQUIRED, "", read_name, "Name of this node."),
+    Option(
+        "node",
+        "ip",
+        REQUIRED,
+        "IP number",
+        read_ip,
+        "Address on which callers and other nodes reach this node.",
+    ),
+    Option(
+        "node", "http-port", "8080", "port", read_port, "Port for callers."
+    ),
+    Option(
+        "node",
+        "peer-port",
+        "8081",
+        "port",
+        read_port,
+        "Port for other nodes, TCP and UDP.",
+    ),
+    Option(
+        "node",
+        "availability-zone",
+        REQUIRED,
+        "",
+        read_zone,
+        "Availability zone of this host.",
+    ),
+    Option(
+        "node",
+        "seed",
+        "0",
+        "number",
+        _read_seed,
+        "Seed of random choices; 0 takes one from the system.",
+    ),
+    Option(
+        "platform",
+        "log",
+        REQUIRED,
+        "URL",
+        read_url,
+        "The platform's append-only log.",
+    ),
+    Option(
+        "platform",
+        "hosts",
+        REQUIRED,
+        "URL",
+        read_url,
+        "The platform's list of hosts.",
+    ),
+    Option(
+        "platform",
+        "timeout",
+        "2",
+        "seconds",
+        read_seconds,
+        "Time after which the platform counts as silent.",
+    ),
+    Option(
+        "callers",
+        "answer-validity",
+        "30",
+        "seconds",
+        read_seconds,
+        "Time for which callers may keep an answer about addresses.",
+    ),
+    Option(
+        "callers",
+        "head-size",
+        "16384",
+        "bytes",
+        _read_size,
+        "Largest head of a request.",
+    ),
+    Option(
+        "callers",
+        "replay-body",
+        "65536",
+        "bytes",
+        _read_size,
+        "Largest request body that is held to be sent again.",
+    ),
+    Option(
+        "workers",
+        "connect-timeout",
+        "1",
+        "seconds",
+        read_seconds,
+        "Time in which a worker must take a connection.",
+    ),
+    Option(
+        "workers",
+        "stall-timeout",
+        "2",
+        "seconds",
+        read_seconds,
+        "Time without a byte after which a download goes on elsewhere.",
+    ),
+    Option(
+        "log", "level", "info", "quiet or info", read_level, "What to log."
+    ),
+)
+
+
+class Settings:
+    """Checked settings by section and name."""
+
+    __slots__ = ("values",)
+
+    def __init__(self, values):
+        self.values = values
+
+    def get(self, section, name):
+        """Return the value of a setting."""
+        return self.values[section, name]
+
+
+def read_settings(path, options=OPTIONS):
+    """Return a Result with the Settings, or every Finding together."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "is not UTF-8 text"
+        return expression.Error([Finding(path, 0, "", "", reason)])
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, path)
+    except configparser.Error as error:
+        line = getattr(error, "lineno", 0) or 0
+        errors = getattr(error, "errors", None)
+        if errors:
+            line = errors[0][0]
+        reason = "cannot be read: %s" % str(error).split("\n", 1)[0]
+        return expression.Error([Finding(path, line, "", "", reason)])
+    return _check(path, parser, find_lines(text), options)
+
+
+def find_lines(text):
+    """Return the line of each section and option, 1 for the first."""
+    lines, section = {}, ""
+    for number, line in enumerate(text.splitlines(), 1):
+        header = re.match(r"\[([^]]+)\]", line)
+        if header:
+            section = header.group(1)
+            lines[section, ""] = number
+            continue
+        option = re.match(r"([^\s#;:=][^:=]*?)\s*[:=]", line)
+        if option:
+            lines[section, option.group(1).lower()] = number
+    return lines
+
+
+def _check(path, parser, lines, options):
+    known = {(o.section, o.name) for o in options}
+    sections = {o.section for o in options}
+    findings = []
+    for section in parser.sections():
+        if section not in sections:
+            line = lines.get((section, ""), 0)
+            findings.append(
+                Finding(path, line, section, "", "is no known section")
+            )
+            continue
+        for name in parser.options(section):
+            if (section, name) not in known:
+                line = lines.get((section, name), 0)
+                findings.append(
+                    Finding(path, line, section, name, "is no known option")
+                )
+    values = {}
+    for option in options:
+        _check_option(path, parser, lines, option, values, findings)
+    if findings:
+        findings.sort(key=lambda f: (f.line, f.section, f.option))
+        return expression.Error(findings)
+    return expression.Ok(Settings(values))
+
+
+def _check_option(path, parser, lines, option, values, findings):
+    section, name = option.section, option.name
+    text = parser.get(section, name, fallback=option.default)
+    line = lines.get((section, name), lines.get((section, ""), 0))
+    if text is None:
+        findings.append(Finding(path, line, section, name, "is missing"))
+        return
+    try:
+        values[section, name] = option.read(text)
+    except ValueError as error:
+        reason = "%s, not %r" % (error, text)
+        findings.append(Finding(path, line, section, name, reason))
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/views.py
@@ -0,0 +1,160 @@
+"""What a node tells callers and operators about itself."""
+
+import json
+
+from aiohttp import web
+
+from acaciafield import ejections
+from acaciafield import outcomes
+from acaciafield_daemon import metrics
+from acaciafield_daemon import problems
+
+NOT_RUN = outcomes.Outcome.NOT_RUN
+
+
+class Views:
+    """The resources under the fleet's own path."""
+
+    __slots__ = ("driver",)
+
+    def __init__(self, driver):
+        self.driver = driver
+
+    def answer(self, request, name):
+        """Return the answer for one resource."""
+        show = {
+            "addresses": self.show_addresses,
+            "status": self.show_status,
+            "config": self.show_config,
+            "burn": self.show_burn,
+            "metrics": self.show_metrics,
+        }.get(name)
+        if show is None:
+            return problems.make_problem(
+                404, "There is no resource of this name.", NOT_RUN
+            )
+        return show(request)
+
+    def show_addresses(self, request):
+        """Tell a caller which addresses to use for a service."""
+        service = request.query.get("service", "")
+        state = self.driver.node.state
+        if state.config.serving and not state.config.find_service(service):
+            return problems.make_problem(
+                404, "There is no service %s." % service, NOT_RUN
+            )
+        answer = self.driver.node.find_addresses(service, self.driver.now())
+        if answer is None:
+            return problems.make_problem(
+                503,
+                "This node cannot name addresses yet.",
+                NOT_RUN,
+                retry_after=1.0,
+            )
+        response = _make_json(
+            {
+                "service": service,
+                "addresses": answer.addresses,
+                "validity": answer.validity,
+                "key_prefix": answer.key_prefix,
+            }
+        )
+        response.headers["Cache-Control"] = "max-age=%d" % answer.validity
+        return response
+
+    def show_status(self, request):
+        """Tell an operator how this node sees the fleet."""
+        state = self.driver.node.state
+        members = [
+            {
+                "node": update.node_id,
+                "address": "%s:%d" % (update.ip, update.http_port),
+                "availability_zone": update.availability_zone,
+                "status": update.status,
+            }
+            for update in [state.members.own]
+            + [m.update for m in state.members.table.values()]
+        ]
+        return _make_json(
+            {
+                "node": state.node_id,
+                "phase": state.stopping.phase.value,
+                "offset": state.config.offset,
+                "serving": state.config.serving,
+                "log_answers": not any(
+                    f.failed for f in state.followers.values()
+                ),
+                "unreadable_records": state.unreadable,
+                "requests": len(state.requests),
+                "members": members,
+                "services": {
+                    name: _describe_keeping(keeping)
+                    for name, keeping in state.services.items()
+                },
+            }
+        )
+
+    def show_config(self, request):
+        """Tell an operator the configuration in force here."""
+        config = self.driver.node.state.config
+        return _make_json(
+            {
+                "offset": config.offset,
+                "serving": config.serving,
+                "digest": config.read_digest(),
+                "items": {
+                    name: {"offset": item.offset, "body": item.body}
+                    for name, item in config.items.items()
+                },
+                "verdict": config.verdicts.get(request.query.get("change")),
+            }
+        )
+
+    def show_burn(self, request):
+        """Tell an operator the service-level burn seen here."""
+        return _make_json(
+            {
+                "node": self.driver.node.node_id,
+                "now": self.driver.now(),
+                "classes": self.driver.burn.describe(),
+            }
+        )
+
+    def show_metrics(self, request):
+        """Give the metrics in the Prometheus text format."""
+        text = metrics.format_metrics(self.driver)
+        return web.Response(
+            body=text.encode(),
+            headers={"Content-Type": "text/plain; version=0.0.4"},
+        )
+
+
+def _describe_keeping(keeping):
+    return {
+        "floor": ejections.count_floor(keeping),
+        "healthy": ejections.count_healthy(keeping),
+        "waiting": len(keeping.waiting),
+        "in_flight": len(keeping.flights),
+        "ejections": keeping.ejected,
+        "suspicions": keeping.suspected,
+        "quarantined": sum(
+            s.quarantined for s in keeping.quarantine.table.values()
+        ),
+        "workers": [
+            {
+                "worker": worker.worker_id,
+                "status": worker.status.value,
+                "in_flight": len(worker.flights),
+                "slots": worker.slots,
+                "evidence": round(worker.weight, 2),
+                "last_resort": worker.last_resort,
+            }
+            for worker in keeping.workers.values()
+        ],
+    }
+
+
+def _make_json(document):
+    return web.Response(
+        body=json.dumps(document).encode(), content_type="application/json"
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of workers, for demos and tests."""
