Judge workers by evidence that silent connections cannot fake

Cause: a test with connections that went silent showed them never renewed: requests given up after a hedge counted like slow answers, and the path verdict left the dead connections in the pool. Ruled out: the fakes (the same holds for the connection pool of a node). Change: requests given up on a reused connection are doubtful evidence; it brings a worker close to the threshold, where one request on a fresh connection decides. The keeper tells the node concerned to drop its connections.

--- a/packages/coordination/acaciafield/claims.py
+++ b/packages/coordination/acaciafield/claims.py
@@ -136,8 +136,6 @@
 def settle_claims(state, now, out):
     """Call back the requests whose claims the fold now knows."""
     claiming = state.claiming
-    if not state.claims.complete:
-        return
     for key in list(claiming.waiting):
         claim = state.claims.table.get(key)
         if claim is None:
--- a/packages/coordination/acaciafield/ejections.py
+++ b/packages/coordination/acaciafield/ejections.py
@@ -86,6 +86,15 @@
     baseline.add_answer(failed)
 
 
+def add_silence(keeping, worker, flight, age, now):
+    """Take in that a request was given up without any answer."""
+    if worker.status is workers.Status.HEALTHY and keeping.baseline.known:
+        limit = 2.0 * THRESHOLDS[keeping.caution]
+        worker.evidence.add_silence(
+            keeping.baseline, age, flight.node_id, now, limit
+        )
+
+
 def mark_leaving(keeping, worker, out):
     """Give a worker no more work, whatever was thought of it."""
     if worker.status is workers.Status.LEAVING:
@@ -139,6 +148,7 @@
     if node_id is not None:
         worker.bad_paths[node_id] = now + PATH_HOLD
         worker.evidence.clear()
+        keeping.silent.add((node_id, worker.worker_id))
         return
     if not _may_remove(keeping, worker):
         worker.last_resort = True
@@ -153,12 +163,10 @@
 
 
 def _is_doubtful(keeping, worker, now):
-    flights = worker.flights.values()
-    baseline = keeping.baseline
-    fresh = [f for f in flights if f.fresh]
-    threshold = THRESHOLDS[keeping.caution]
-    known = worker.evidence.weigh(baseline, fresh, now, threshold)
-    return known < 0.9 * threshold
+    certain = worker.evidence.weigh_certain(
+        keeping.baseline, worker.flights.values(), now
+    )
+    return certain < 0.9 * THRESHOLDS[keeping.caution]
 
 
 def _may_remove(keeping, worker):
@@ -179,7 +187,7 @@
         eject(keeping, worker, now, out)
         return
     if worker.status is workers.Status.SUSPECT:
-        _clear_suspect(worker, now, out)
+        _clear_suspect(keeping, worker, out)
         return
     worker.good_canaries += 1
     if worker.good_canaries >= GOOD_CANARIES:
@@ -190,12 +198,14 @@
         out.append(effects.Note("keeper", text))
 
 
-def _clear_suspect(worker, now, out):
+def _clear_suspect(keeping, worker, out):
     worker.status = workers.Status.HEALTHY
-    worker.evidence.clear()
+    for node_id in worker.evidence.bad:
+        keeping.silent.add((node_id, worker.worker_id))
     for flight in worker.flights.values():
+        keeping.silent.add((flight.node_id, worker.worker_id))
         flight.headed = True
-    out.append(effects.DropConnections(worker.worker_id))
+    worker.evidence.clear()
     text = "Connections to %s had gone silent." % worker.worker_id
     out.append(effects.Note("keeper", text))
 
--- a/packages/coordination/acaciafield/judging.py
+++ b/packages/coordination/acaciafield/judging.py
@@ -21,7 +21,7 @@
 LEAST_ERRORS = 0.01
 ERROR_RATE = 0.01  # weight of one answer in the error share
 FRESH_DOUBT = 0.95  # most of a threshold that old connections can give
-PATH_SHARE = 0.9  # of the bad evidence from one node: a path fault
+PATH_SHARE = 0.7  # of the bad evidence from one node: a path fault
 PATH_WINDOW = 5.0  # seconds within which other nodes' good answers count
 
 
@@ -82,11 +82,12 @@
 class Evidence:
     """The sums of one worker, and which nodes saw what.
 
+    ``doubtful`` sums what connections that may have gone silent gave;
     ``bad`` maps a node to the weight of its bad evidence, ``good`` to
     the time of its last good answer.
     """
 
-    __slots__ = ("slow", "errors", "bad", "good")
+    __slots__ = ("slow", "doubtful", "errors", "bad", "good")
 
     def __init__(self):
         self.clear()
@@ -94,6 +95,7 @@
     def clear(self):
         """Forget all evidence."""
         self.slow = 0.0
+        self.doubtful = 0.0
         self.errors = 0.0
         self.bad = {}
         self.good = {}
@@ -105,6 +107,14 @@
         deviation = min(high, max(low, baseline.measure(latency)))
         step = shift * (deviation - shift / 2)
         self.slow = min(limit, max(0.0, self.slow + step))
+        if step < 0.0:
+            self.doubtful = max(0.0, self.doubtful + step)
+        self._note(node_id, step, now)
+
+    def add_silence(self, baseline, age, node_id, now, limit):
+        """Count a request given up on a connection that may be silent."""
+        step = weigh_age(baseline, age)
+        self.doubtful = min(limit, self.doubtful + step)
         self._note(node_id, step, now)
 
     def add_answer(self, baseline, failed, node_id, now, limit):
@@ -124,20 +134,27 @@
         Requests on connections that may have gone silent can bring it
         close to the threshold but not over it.
         """
+        certain = self.weigh_certain(baseline, flights, now)
+        if not baseline.known:
+            return certain
+        doubtful = self.doubtful + sum(
+            weigh_age(baseline, now - flight.started)
+            for flight in flights
+            if not flight.headed and not flight.fresh
+        )
+        room = max(0.0, FRESH_DOUBT * threshold - certain)
+        return certain + min(doubtful, room)
+
+    def weigh_certain(self, baseline, flights, now):
+        """Return the evidence that no silent connection explains."""
         if not baseline.known:
             return self.errors
-        fresh, old = 0.0, 0.0
-        for flight in flights:
-            if flight.headed:
-                continue
-            weight = weigh_age(baseline, now - flight.started)
-            if flight.fresh:
-                fresh += weight
-            else:
-                old += weight
-        doubt = max(0.0, FRESH_DOUBT * threshold - self.slow - fresh)
-        slow = self.slow + fresh + min(old, doubt)
-        return max(slow, self.errors)
+        fresh = sum(
+            weigh_age(baseline, now - flight.started)
+            for flight in flights
+            if not flight.headed and flight.fresh
+        )
+        return max(self.slow + fresh, self.errors)
 
     def find_bad_path(self, flights, baseline, now):
         """Return the one node whose path explains the evidence, or None."""
--- a/packages/coordination/acaciafield/keeping.py
+++ b/packages/coordination/acaciafield/keeping.py
@@ -12,7 +12,11 @@
 
 
 class Keeping:
-    """One service as its keeper sees it."""
+    """One service as its keeper sees it.
+
+    ``silent`` holds the (node, worker) pairs whose open connections
+    are to be dropped.
+    """
 
     __slots__ = (
         "service",
@@ -35,6 +39,7 @@
         "suspected",
         "counter",
         "early_held",
+        "silent",
     )
 
     def __init__(self, service, now):
@@ -58,6 +63,7 @@
         self.suspected = 0
         self.counter = 0
         self.early_held = []
+        self.silent = set()
 
     def count_slots(self):
         """Return the slots of the workers in use."""
--- a/packages/coordination/acaciafield/messages.py
+++ b/packages/coordination/acaciafield/messages.py
@@ -190,6 +190,12 @@
     )
 
 
+class DropPath(structs.Struct):
+    """Open connections to this worker have gone silent."""
+
+    __slots__ = ("worker_id",)
+
+
 class CrashNotice(structs.Struct):
     """Shares what is known of a fingerprint that crashes workers."""
 
--- a/packages/coordination/acaciafield/permits.py
+++ b/packages/coordination/acaciafield/permits.py
@@ -103,9 +103,21 @@
     state.timers.subscribe(("judge", timer.service), due, timer)
     _reclaim(keeping, state)
     ejections.judge_workers(keeping, now, out)
+    _drop_silent(keeping, state, out)
     dispatch(keeping, state, now, out)
 
 
+def _drop_silent(keeping, state, out):
+    silent, keeping.silent = keeping.silent, set()
+    for node_id, worker_id in sorted(silent):
+        state.send(node_id, messages.DropPath(worker_id), out)
+
+
+def receive_drop(message, state, sender, now, out):
+    """Use no open connection to a worker any longer."""
+    out.append(effects.DropConnections(message.worker_id))
+
+
 def fire_hosts(timer, state, now, out):
     """Read the host list again while the service is kept."""
     if timer.service not in state.services:
@@ -534,8 +546,12 @@
             )
         return
     latency = message.latency
-    if cancelled and not _is_late(keeping, latency):
-        return
+    if cancelled or ending is outcomes.Ending.TIMEOUT:
+        if not flight.fresh:
+            ejections.add_silence(keeping, worker, flight, latency, now)
+            return
+        if cancelled and not _is_late(keeping, latency):
+            return
     ejections.add_result(
         keeping,
         worker,
--- a/packages/coordination/acaciafield/reducer.py
+++ b/packages/coordination/acaciafield/reducer.py
@@ -132,6 +132,7 @@
     (messages.PermitHead, permits.receive_head),
     (messages.PermitDone, permits.receive_done),
     (messages.PermitHeld, permits.receive_held),
+    (messages.DropPath, permits.receive_drop),
     (messages.CrashNotice, permits.receive_crash),
     (messages.BindKey, records.receive_bind),
     (messages.KeyVerdict, binding.receive_verdict),
--- a/tests/test_keys_under_failure.py
+++ b/tests/test_keys_under_failure.py
@@ -272,3 +272,57 @@
     world.run_for(40.0)
     assert world.count_runs()["order-a"] == 1
     assert told[1].outcome is Outcome.UNKNOWN
+
+
+def test_home_woken_with_a_request_in_hand_obeys_the_replica():
+    world = support.make_world()
+    entry = world.list_live()[0]
+    key = support.make_key(world, entry)
+    home, replica = support.name_deciders(key)
+    other = [n for n in world.list_live() if n not in (home, replica)][0]
+    world.freeze(home)
+    in_hand = world.request(home, "prices", "order-a", "POST", key=key)
+    asked = world.request(other, "prices", "order-a", "POST", key=key)
+    world.run_for(20.0)
+    assert asked.outcome is Outcome.NOT_RUN
+    world.thaw(home)
+    world.run_for(20.0)
+    assert in_hand.outcome is Outcome.NOT_RUN
+    assert world.count_runs()["order-a"] == 0
+
+
+def test_cut_off_node_with_truncated_claims_runs_no_opaque_key():
+    world = support.make_world()
+    first = world.request(
+        world.list_live()[0], "prices", "order-a", "POST", key="mine"
+    )
+    world.run_for(2.0)
+    for number in range(5):
+        label = "order-%d" % number
+        node_id = world.list_live()[0]
+        world.request(node_id, "prices", label, "POST", key=label)
+        world.run_for(0.2)
+    world.log.retention = 2
+    new = world.add_node("late")
+    world.isolate(new)
+    world.run_for(6.0)
+    again = world.request(new, "prices", "order-a", "POST", key="mine")
+    world.run_for(10.0)
+    assert first.outcome is Outcome.RAN
+    assert again.outcome is Outcome.UNKNOWN
+    assert world.count_runs()["order-a"] == 1
+
+
+def test_first_claim_in_log_order_decides_for_later_claimers():
+    world = support.make_world()
+    first_node, second_node = world.list_live()[:2]
+    told = []
+    for number in range(10):
+        label = "order-%d" % number
+        args = ("prices", label, "POST", "", label)
+        told.append(world.request(first_node, *args))
+        world.run_for(0.3)
+        told.append(world.request(second_node, *args))
+    world.run_for(10.0)
+    support.check_orders(world, told)
+    assert all(t.outcome is Outcome.RAN for t in told)
