--- a/packages/coordination/acaciafield/ejections.py
+++ b/packages/coordination/acaciafield/ejections.py
@@ -13,8 +13,8 @@
 from acaciafield import workers
 
 THRESHOLDS = {
-    classes.Caution.QUICK_DETECTION: 13.0,
-    classes.Caution.FEW_FALSE_EJECTIONS: 18.0,
+    classes.Caution.QUICK_DETECTION: 20.0,
+    classes.Caution.FEW_FALSE_EJECTIONS: 24.0,
 }
 FIRST_HOLD = 5.0  # seconds
 MOST_HOLD = 300.0  # seconds
@@ -22,6 +22,7 @@
 GOOD_CANARIES = 3
 CANARY_SLOW = 2.5  # standard deviations
 PATH_HOLD = 10.0  # seconds for which one node avoids a worker
+SUSPECT_SHARE = 0.9  # of the threshold at which a worker is suspect
 LEAST_SIBLINGS = 2
 SIBLING_SCALE = 2.0  # evidence that one unit against siblings cancels
 
@@ -118,12 +119,12 @@
 
 
 def _weigh_worker(keeping, worker, threshold, now):
-    evidence, flights = worker.evidence, worker.flights.values()
-    baseline = keeping.baseline
-    worker.weight = evidence.weigh(baseline, flights, now, threshold)
-    certain = evidence.weigh_certain(baseline, flights, now)
-    doubtful = evidence.weigh_doubtful(baseline, flights, now)
-    worker.pressure = certain + doubtful
+    weights = worker.evidence.weigh_flights(
+        keeping.baseline, worker.flights.values(), now
+    )
+    worker.certain = weights.certain
+    worker.weight = weights.combine(threshold)
+    worker.pressure = weights.certain + weights.doubtful
 
 
 def _weigh_siblings(worker, judged):
@@ -148,7 +149,7 @@
         if excess >= threshold:
             eject(keeping, worker, now, out)
         return
-    if excess < 0.9 * threshold:
+    if excess < SUSPECT_SHARE * threshold:
         worker.last_resort = False
         return
     node_id = worker.evidence.find_bad_path(
@@ -164,20 +165,13 @@
         return
     if excess >= threshold:
         eject(keeping, worker, now, out)
-    elif _is_doubtful(keeping, worker, now):
+    elif worker.certain < SUSPECT_SHARE * threshold:
         worker.status = workers.Status.SUSPECT
         keeping.suspected += 1
         text = "%s is tried on a new connection." % worker.worker_id
         out.append(effects.Note("keeper", text))
 
 
-def _is_doubtful(keeping, worker, now):
-    certain = worker.evidence.weigh_certain(
-        keeping.baseline, worker.flights.values(), now
-    )
-    return certain < 0.9 * THRESHOLDS[keeping.caution]
-
-
 def _may_remove(keeping, worker):
     healthy = count_healthy(keeping)
     return healthy - worker.slots >= count_floor(keeping)
--- a/packages/coordination/acaciafield/judging.py
+++ b/packages/coordination/acaciafield/judging.py
@@ -13,7 +13,7 @@
 MOST_SHIFT = 3.0  # standard deviations
 LEAST_SHIFT = 1.0  # standard deviations
 DONE_CLIP = (-2.0, 4.5)  # standard deviations, of one completed request
-AGE_CLIP = 6.0  # standard deviations, of one request in flight
+AGE_CLIP = 8.0  # standard deviations, of one request in flight
 UPDATE_CLIP = 2.5  # standard deviations, of what moves the baseline
 UPDATE_RATE = 0.02  # weight of one latency in the baseline
 FIRST_UPDATES = 20  # completions before the baseline counts as known
@@ -79,6 +79,25 @@
         return math.exp(self.mean + deviations * self.sigma)
 
 
+class Weights:
+    """Evidence against a worker, by whether connections explain it."""
+
+    __slots__ = ("certain", "doubtful")
+
+    def __init__(self, certain, doubtful):
+        self.certain = certain
+        self.doubtful = doubtful
+
+    def combine(self, threshold):
+        """Return the evidence to act on.
+
+        Doubtful evidence, of connections that may have gone silent, can
+        bring it close to the threshold but not over it.
+        """
+        room = max(0.0, FRESH_DOUBT * threshold - self.certain)
+        return self.certain + min(self.doubtful, room)
+
+
 class Evidence:
     """The sums of one worker, and which nodes saw what.
 
@@ -128,36 +147,21 @@
             step = math.log((1.0 - sick) / (1.0 - usual))
         self.errors = min(limit, max(0.0, self.errors + step))
 
-    def weigh(self, baseline, flights, now, threshold):
-        """Return the whole evidence, requests in flight included.
-
-        Requests on connections that may have gone silent can bring it
-        close to the threshold but not over it.
-        """
-        certain = self.weigh_certain(baseline, flights, now)
-        room = max(0.0, FRESH_DOUBT * threshold - certain)
-        return certain + min(self.weigh_doubtful(baseline, flights, now), room)
-
-    def weigh_doubtful(self, baseline, flights, now):
-        """Return the evidence that silent connections might explain."""
-        if not baseline.known:
-            return 0.0
-        return self.doubtful + sum(
-            weigh_age(baseline, now - flight.started)
-            for flight in flights
-            if not flight.headed and not flight.fresh
-        )
-
-    def weigh_certain(self, baseline, flights, now):
-        """Return the evidence that no silent connection explains."""
+    def weigh_flights(self, baseline, flights, now):
+        """Return the Weights, requests in flight included."""
+        certain, doubtful = self.slow, self.doubtful
         if not baseline.known:
-            return self.errors
-        fresh = sum(
-            weigh_age(baseline, now - flight.started)
-            for flight in flights
-            if not flight.headed and flight.fresh
-        )
-        return max(self.slow + fresh, self.errors)
+            return Weights(self.errors, 0.0)
+        oldest_usual = now - baseline.quantile(baseline.shift / 2)
+        for flight in flights:
+            if flight.headed or flight.started > oldest_usual:
+                continue
+            weight = weigh_age(baseline, now - flight.started)
+            if flight.fresh:
+                certain += weight
+            else:
+                doubtful += weight
+        return Weights(max(certain, self.errors), doubtful)
 
     def find_bad_path(self, flights, baseline, now):
         """Return the one node whose path explains the evidence, or None."""
--- a/packages/coordination/acaciafield/workers.py
+++ b/packages/coordination/acaciafield/workers.py
@@ -55,8 +55,9 @@
 class Worker:
     """One worker of a service.
 
-    ``weight`` is the evidence against it, ``pressure`` the same with
-    all doubtful evidence, by which its siblings are compared.
+    ``weight`` is the evidence against it, ``certain`` the part that no
+    silent connection explains; ``pressure`` counts all doubtful
+    evidence too, and is what its siblings are compared by.
     """
 
     __slots__ = (
@@ -70,6 +71,7 @@
         "flights",
         "evidence",
         "weight",
+        "certain",
         "pressure",
         "last_resort",
         "ejections",
@@ -96,6 +98,7 @@
         self.flights = {}
         self.evidence = judging.Evidence()
         self.weight = 0.0
+        self.certain = 0.0
         self.pressure = 0.0
         self.last_resort = False
         self.ejections = 0
