Generate the fault matrix and let downloads outlive silent connections

Change: downloads are hedged before their head, an attempt has 10 s for its head, and every attempt after the first takes a fresh connection (a further test with all connections silent at once failed without that).

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -10,7 +10,6 @@
 import time
 
 from acaciafield import classes
-from acaciafield import configuration
 from acaciafield import outcomes
 from bench import clients
 from bench import processes
@@ -108,14 +107,7 @@
     for number in range(NODES):
         running.start_node("n%d" % (number + 1), "abc"[number % 3])
     await running.publish_hosts(session)
-    items = {name: (0, body) for name, body in BODIES.items()}
-    record = configuration.make_change("demo", items, "demo")
-    await processes.post(
-        session,
-        running.log.address,
-        "streams/%s" % configuration.STREAM,
-        record,
-    )
+    await processes.post_change(session, running, BODIES)
     await running.await_nodes(session)
 
 
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -163,6 +163,7 @@
         self.on_message = None
         self.downloads = {}
         self.download_time = 0.0
+        self.on_step = None
 
     def call_at(self, due, work, *args):
         """Plan a call at a time in seconds."""
@@ -285,6 +286,10 @@
             self._tell(told, Outcome.NOT_RUN, 0)
             told.title = "no connection"
             return told
+        self.note_step("accept", node_id)
+        if not host.alive:
+            self._tell(told, Outcome.UNKNOWN, 0, cut=True)
+            return told
         self.feed(
             node_id,
             events.RequestArrived,
@@ -323,6 +328,11 @@
             wanted = host.node.handle(event)
         self._carry_out(node_id, wanted)
 
+    def note_step(self, step, node_id, worker=None):
+        """Tell the watcher, if any, that a step is about to be taken."""
+        if self.on_step is not None:
+            self.on_step(step, node_id, worker)
+
     def count_runs(self):
         """Return how often each fingerprint ran, by the ledgers."""
         runs = collections.Counter()
@@ -369,12 +379,13 @@
 class Attempt:
     """One attempt at a worker, as the world knows it."""
 
-    __slots__ = ("worker", "offset", "finish", "size")
+    __slots__ = ("worker", "offset", "finish", "headed")
 
     def __init__(self, worker, offset, finish):
         self.worker = worker
         self.offset = offset
         self.finish = finish
+        self.headed = False
 
 
 def copy_message(message):
@@ -400,6 +411,16 @@
     )
 
 
+_STEPS = {
+    messages.PermitRequest: "choose",
+    messages.ReplicateKey: "bind",
+    messages.KeyOutcome: "record",
+    messages.ConfigState: "tell-peers",
+    messages.RecordsHandover: "hand-over",
+    messages.HandoverAck: "drain",
+}
+
+
 @functools.singledispatch
 def carry_out(effect, world, node_id):
     """Do what an effect of a node asks for."""
@@ -408,6 +429,7 @@
 @carry_out.register
 def _send(effect: effects.Send, world, node_id):
     target = effect.node_id
+    world.note_step(_STEPS.get(type(effect.message)), node_id)
     if world.on_message is not None:
         world.on_message(node_id, target, effect.message)
     if (node_id, target) in world.cuts or target not in world.hosts:
@@ -431,9 +453,9 @@
     told = world.told[effect.request_id]
     finish = told.class_name == "downloads"
     world.attempts[name] = Attempt(worker, effect.offset, finish)
+    world.note_step("send", node_id, worker)
     silent = not effect.fresh and node_id in worker.silent_to
-    limit = (Stage.WAIT, Ending.TIMEOUT)
-    world.call_in(effect.timeout, world.end_attempt, name, *limit)
+    world.call_in(effect.timeout, _end_late, world, name)
     if silent:
         return
     if (node_id, worker.worker_id) in world.cuts:
@@ -444,6 +466,12 @@
     world.call_in(HOP, _reach_worker, world, name, told)
 
 
+def _end_late(world, name):
+    attempt = world.attempts.get(name)
+    if attempt is not None and not attempt.headed:
+        world.end_attempt(name, Stage.WAIT, Ending.TIMEOUT)
+
+
 def _reach_worker(world, name, told):
     attempt = world.attempts.get(name)
     if attempt is None:
@@ -462,6 +490,9 @@
     fingerprint = told.label
     worker.ledger.append((world.now, fingerprint, name[0]))
     worker.busy[name] = fingerprint
+    world.note_step("wait", name[0], worker)
+    if name not in world.attempts:
+        return
     if worker.crash_on is not None and worker.crash_on in fingerprint:
         _crash(world, worker)
         return
@@ -511,6 +542,8 @@
 def _send_head(world, name, status):
     node_id, request_id, number = name
     if name in world.attempts:
+        world.attempts[name].headed = True
+        world.note_step("first-byte", node_id)
         world.feed(
             node_id, events.AttemptHead, request_id, number, status, False
         )
@@ -530,6 +563,7 @@
         ending = (Stage.BODY, Ending.RESET, 200, attempt.offset, True)
         _end_body(world, name, worker, ending)
         return
+    world.note_step("body", name[0], worker)
     attempt.offset += 1
     told.offset = max(told.offset, attempt.offset)
     if attempt.offset >= 100:
@@ -568,6 +602,7 @@
 @carry_out.register
 def _finish(effect: effects.FinishAnswer, world, node_id):
     told = world.told[effect.request_id]
+    world.note_step("reply", node_id)
     world._tell(told, Outcome.RAN, 200)
 
 
@@ -603,6 +638,8 @@
         )
         return
     stream = world.log.streams[effect.stream]
+    if effect.offset < stream.first + len(stream.records):
+        world.note_step("fold", node_id)
     if world.log.retention is not None:
         stream.truncate(world.log.retention)
     records = stream.read(effect.offset)
@@ -620,6 +657,8 @@
 @carry_out.register
 def _append_log(effect: effects.AppendLog, world, node_id):
     cut = (node_id, "log") in world.cuts
+    if effect.append_id.startswith("claims"):
+        world.note_step("claim", node_id)
     if not (world.log.down or cut):
         offset = world.log.append(effect.stream, effect.data)
         if not world.log.lose_answers:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -14,6 +14,8 @@
 
 import aiohttp
 
+from acaciafield import configuration
+
 IP = "127.0.0.1"
 FIRST_PORT = 20000
 LAST_PORT = 31000  # below the ports that systems hand out by themselves
@@ -270,6 +272,17 @@
         return await response.json(content_type=None)
 
 
+async def post_change(session, running, bodies):
+    """Publish services by a record of their bodies."""
+    items = {name: (0, body) for name, body in bodies.items()}
+    await post(
+        session,
+        running.log.address,
+        "streams/%s" % configuration.STREAM,
+        configuration.make_change("bench", items, "bench"),
+    )
+
+
 async def await_answer(session, address, path):
     """Wait until an address answers."""
     end = time.monotonic() + START_WAIT
--- a/packages/coordination/acaciafield/requests.py
+++ b/packages/coordination/acaciafield/requests.py
@@ -10,6 +10,7 @@
 from acaciafield import structs
 
 QUICK_DEADLINE = 10.0  # seconds, where the caller names none
+HEAD_WAIT = 10.0  # seconds for the head of a download
 MOST_ATTEMPTS = 4
 MOST_RESUMES = 50
 KEEPER_WAIT = 0.4  # seconds for a keeper's word
@@ -202,9 +203,9 @@
             attempt.number,
             message.worker_id,
             message.address,
-            message.fresh or not request.idempotent,
+            message.fresh or _needs_fresh(request, attempt),
             request.offset,
-            max(0.001, request.deadline - now),
+            _find_patience(request, now),
         )
     )
     _plan_hedge(request, state, message.hedge_after, now)
@@ -496,6 +497,19 @@
             state.send(keeper, held, out)
 
 
+def _needs_fresh(request, attempt):
+    """Tell whether a connection that went silent must not matter."""
+    return not request.idempotent or attempt.number > 1
+
+
+def _find_patience(request, now):
+    """Return the seconds that one attempt has for its answer's head."""
+    left = max(0.001, request.deadline - now)
+    if request.work_class.target is classes.Target.FINISH:
+        return min(HEAD_WAIT, left)
+    return left
+
+
 def _find_attempt(state, permit_id):
     _node_id, request_id, number = permit_id.rsplit("/", 2)
     request = state.requests.get(int(request_id))
@@ -520,7 +534,7 @@
 
 
 def _plan_hedge(request, state, hedge_after, now):
-    if request.work_class.target is not classes.Target.QUICK:
+    if not request.idempotent or request.relayed is not None:
         return
     if request.hedged or hedge_after <= 0.0:
         return
--- /dev/null
+++ b/tests/test_matrix.py
@@ -0,0 +1,39 @@
+"""A part of the fault matrix, on fixed seeds."""
+
+import pytest
+
+from bench import matrix
+from tests import support
+
+PLANS = matrix.make_plans(1, 60)
+SAMPLE = PLANS[::14] + PLANS[-12:]
+
+
+@pytest.mark.parametrize(
+    "plan", SAMPLE, ids=lambda plan: matrix.Row(plan, 1).name
+)
+def test_row_holds(plan):
+    row = matrix.run_row(plan, 1)
+    assert row.fired == len(plan)
+    assert not row.broken
+
+
+def test_every_step_and_fault_is_drawn():
+    plans = [row for plan in PLANS for row in plan]
+    assert {step for step, _ in plans} == set(matrix.STEPS)
+    assert {fault for _, fault in plans} == set(matrix.FAULTS)
+
+
+def test_download_on_a_silent_connection_goes_on_elsewhere():
+    world = support.make_world()
+    told = []
+    for worker in world.workers.values():
+        worker.silent_to = set(world.hosts)
+    for number in range(6):
+        entry = world.list_live()[number % 5]
+        label = "file-%d" % number
+        told.append(
+            world.request(entry, "prices", label, class_name="downloads")
+        )
+    world.run_for(60.0)
+    assert [t.outcome.value for t in told] == ["ran"] * 6
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,127 @@
+"""Any interleaving of questions and outcomes lets a key run once."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from acaciafield import effects
+from acaciafield import events
+from acaciafield import keys
+from acaciafield import messages
+from acaciafield import node as nodes
+from acaciafield import records
+
+EPOCH = keys.read_epoch(1_000_000.0)
+ENTRIES = ("e1", "e2")
+
+
+class RecordsMachine(stateful.RuleBasedStateMachine):
+    """A home and its replica; messages between them come late or never."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1_000_000.0
+        self.home = self._make("home")
+        self.replica = self._make("replica")
+        self.wire = []
+        self.runs = []
+        self.live = {}
+        self.told_not_run = False
+        self.number = 0
+
+    @stateful.rule(entry=strategies.sampled_from(ENTRIES))
+    def ask_home(self, entry):
+        self._ask(self.home, "home", entry, False)
+
+    @stateful.rule(
+        entry=strategies.sampled_from(ENTRIES),
+        decider=strategies.sampled_from(["home", "replica"]),
+    )
+    def give_up(self, entry, decider):
+        node = self.home if decider == "home" else self.replica
+        self._ask(node, decider, entry, True)
+
+    @stateful.rule(data=strategies.data())
+    def deliver(self, data):
+        if not self.wire:
+            return
+        number = data.draw(strategies.integers(0, len(self.wire) - 1))
+        self._deliver(*self.wire.pop(number))
+
+    @stateful.rule()
+    def lose(self):
+        if self.wire:
+            self.wire.pop(0)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 1.0, 700.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        for name, node in (("home", self.home), ("replica", self.replica)):
+            self._send(name, node.tick(self.now))
+
+    @stateful.rule(outcome=strategies.sampled_from(["ran", "not-run"]))
+    def end_run(self, outcome):
+        if not self.live:
+            return
+        grant_id, entry = self.live.popitem()
+        if outcome == "not-run":
+            self.runs.remove(grant_id)
+        report = messages.KeyOutcome("home", "k", grant_id, outcome, 200)
+        self.wire.append((entry, "home", report))
+
+    @stateful.invariant()
+    def runs_once(self):
+        assert len(self.runs) <= 1
+
+    def _make(self, name):
+        node = nodes.Node(name, 1)
+        node.start(self.now)
+        for other in ("home", "replica", *ENTRIES):
+            if other != name:
+                update = messages.MemberUpdate(other, other, 1, 1, "a")
+                join = messages.Join([update])
+                node.handle(events.MessageReceived(self.now, other, join))
+        return node
+
+    def _ask(self, node, decider, entry, refuse):
+        self.number += 1
+        bind = messages.BindKey(
+            "%s/%d" % (entry, self.number),
+            decider,
+            "replica",
+            EPOCH,
+            "k",
+            "body",
+            refuse,
+        )
+        self._deliver(entry, decider, bind)
+
+    def _deliver(self, source, target, message):
+        if target in ENTRIES:
+            self._take_verdict(target, message)
+            return
+        node = self.home if target == "home" else self.replica
+        event = events.MessageReceived(self.now, source, message)
+        self._send(target, node.handle(event))
+
+    def _send(self, source, wanted):
+        for effect in wanted:
+            if isinstance(effect, effects.Send):
+                self.wire.append((source, effect.node_id, effect.message))
+
+    def _take_verdict(self, entry, message):
+        if not isinstance(message, messages.KeyVerdict):
+            return
+        if message.verdict == records.Verdict.RUN.value:
+            assert not self.told_not_run
+            self.runs.append(message.grant_id)
+            self.live[message.grant_id] = entry
+        if message.verdict == records.Verdict.EXPIRED.value:
+            assert not self.runs
+            self.told_not_run = True
+
+
+TestRecords = RecordsMachine.TestCase
+TestRecords.settings = settings(
+    max_examples=80, stateful_step_count=30, deadline=None, derandomize=True
+)
