Let a safe request wait for the retry budget

Ruled out: a larger budget (it would multiply an overload). Change: a request that may be repeated asks again after a second, until its deadline.

--- a/packages/coordination/acaciafield/requests.py
+++ b/packages/coordination/acaciafield/requests.py
@@ -15,6 +15,7 @@
 MOST_RESUMES = 50
 KEEPER_WAIT = 0.4  # seconds for a keeper's word
 KEEPER_AVOID = 5.0  # seconds for which a silent keeper is passed over
+BUDGET_PAUSE = 1.0  # seconds until a retry is asked for again
 RETRY_PAUSE = 0.02  # seconds, times the number of attempts made
 KEEPERS = 3
 SILENT_ATTEMPTS = 2  # in a row, after which open connections are dropped
@@ -223,6 +224,9 @@
         if request.relayed is not None and not request.attempts:
             _abort(request, state, "No worker could go on.", now, out)
         return
+    if _may_wait(request, message, now):
+        _plan_retry(request, state, now + BUDGET_PAUSE, charged=True)
+        return
     _fail(request, state, now, out, retry_after=message.retry_after)
 
 
@@ -298,11 +302,7 @@
     if _may_retry(request, outcome, now):
         pause = RETRY_PAUSE * request.count
         connected = event.stage is not Stage.CONNECT
-        state.timers.subscribe(
-            ("retry", request.request_id),
-            now + pause,
-            RetryTimer(request.request_id, connected),
-        )
+        _plan_retry(request, state, now + pause, connected)
         return
     _fail(request, state, now, out)
 
@@ -580,6 +580,21 @@
     )
 
 
+def _may_wait(request, message, now):
+    """Tell whether to wait for the retry budget rather than give up."""
+    spent = message.reason == permits.PermitReason.BUDGET.value
+    late = now + BUDGET_PAUSE >= request.deadline
+    return spent and request.idempotent and not late
+
+
+def _plan_retry(request, state, due, charged):
+    state.timers.subscribe(
+        ("retry", request.request_id),
+        due,
+        RetryTimer(request.request_id, charged),
+    )
+
+
 def _is_outrun(other, winner):
     return other.granted is not None and other.granted < winner.granted
 
