--- a/packages/coordination/acaciafield/keeping.py
+++ b/packages/coordination/acaciafield/keeping.py
@@ -46,7 +46,7 @@
         self.service = service
         self.workers = {}
         self.baseline = judging.Baseline()
-        self.budget = budgets.RetryBudget()
+        self.budget = budgets.RetryBudget(now)
         self.quarantine = quarantine.Quarantine()
         self.queue = []
         self.finish_queue = []
--- a/packages/coordination/acaciafield/permits.py
+++ b/packages/coordination/acaciafield/permits.py
@@ -278,7 +278,7 @@
     if estimate_wait(keeping) > _find_patience(message):
         return PermitReason.OVERLOAD
     if message.retry or message.hedge:
-        if not keeping.budget.take():
+        if not keeping.budget.take(now):
             return PermitReason.BUDGET
     return None
 
