Split the keeper and the entry into smaller modules; add process tests

Cause: permits and requests had grown to 600 and 700 lines, and a service of 50 workers cost 395 us a request and 1.25 ms a judging. Malformed HTTP is answered by a problem document.

--- a/packages/coordination/acaciafield/binding.py
+++ b/packages/coordination/acaciafield/binding.py
@@ -1,5 +1,6 @@
 """Binding a request to its key's deciders, at the request's entry."""
 
+from acaciafield import attempts
 from acaciafield import claims
 from acaciafield import events
 from acaciafield import keys
@@ -135,7 +136,7 @@
     _close_binding(request, state)
     if verdict is Verdict.RUN:
         request.grant = (request.event.key, message.grant_id, message.key)
-        requests.seek_permit(request, state, now, out)
+        attempts.seek_permit(request, state, now, out)
         return
     if verdict is Verdict.RAN:
         _answer_ran(request, message, state, now, out)
--- a/packages/coordination/acaciafield/ejections.py
+++ b/packages/coordination/acaciafield/ejections.py
@@ -59,9 +59,11 @@
     for worker in judged:
         _weigh_worker(keeping, worker, threshold, now)
     for worker in judged:
-        siblings = _weigh_siblings(worker, judged)
-        excess = worker.weight - SIBLING_SCALE * siblings
+        excess = worker.weight
+        if excess >= SUSPECT_SHARE * threshold:
+            excess -= SIBLING_SCALE * _weigh_siblings(worker, judged)
         _act(keeping, worker, excess, threshold, now, out)
+    keeping.slots = keeping.count_slots()
     for worker in keeping.workers.values():
         _move_on(keeping, worker, now, out)
 
--- a/packages/coordination/acaciafield/keeping.py
+++ b/packages/coordination/acaciafield/keeping.py
@@ -14,6 +14,7 @@
 class Keeping:
     """One service as its keeper sees it.
 
+    ``slots`` counts those of the workers in use when last judged;
     ``silent`` holds the (node, worker) pairs whose open connections
     are to be dropped.
     """
@@ -38,6 +39,7 @@
         "ejected",
         "suspected",
         "counter",
+        "slots",
         "early_held",
         "silent",
     )
@@ -62,6 +64,7 @@
         self.ejected = 0
         self.suspected = 0
         self.counter = 0
+        self.slots = 0
         self.early_held = []
         self.silent = set()
 
@@ -103,6 +106,7 @@
     for worker in list(keeping.workers.values()):
         if worker.worker_id not in listed:
             _age_unlisted(keeping, worker, now)
+    keeping.slots = keeping.count_slots()
 
 
 def _is_restarted(worker, entry):
--- a/packages/coordination/acaciafield/node.py
+++ b/packages/coordination/acaciafield/node.py
@@ -21,6 +21,7 @@
 ['w1']
 """
 
+from acaciafield import attempts
 from acaciafield import events
 from acaciafield import following
 from acaciafield import handover
@@ -30,7 +31,6 @@
 from acaciafield import placement
 from acaciafield import records
 from acaciafield import reducer
-from acaciafield import requests
 from acaciafield import state as states
 from acaciafield import structs
 
@@ -109,7 +109,7 @@
         usable = self.state.members.list_usable()
         if not usable:
             return None
-        ranked = requests.rank_keepers(self.state, service)
+        ranked = attempts.rank_keepers(self.state, service)
         ranked = ranked[:MOST_ADDRESSES]
         home = ranked[0]
         others = [n for n in usable if n != home]
--- a/packages/coordination/acaciafield/reducer.py
+++ b/packages/coordination/acaciafield/reducer.py
@@ -6,6 +6,7 @@
 
 import functools
 
+from acaciafield import attempts
 from acaciafield import binding
 from acaciafield import claims
 from acaciafield import effects
@@ -126,9 +127,9 @@
     (messages.ClaimsState, following.receive_claims_state),
     (messages.HostsNotice, following.receive_hosts),
     (messages.PermitRequest, permits.receive_request),
-    (messages.PermitGrant, requests.receive_grant),
+    (messages.PermitGrant, attempts.receive_grant),
     (messages.PermitRefused, requests.receive_refused),
-    (messages.PermitQueued, requests.receive_queued),
+    (messages.PermitQueued, attempts.receive_queued),
     (messages.PermitHead, permits.receive_head),
     (messages.PermitDone, permits.receive_done),
     (messages.PermitHeld, permits.receive_held),
@@ -156,8 +157,8 @@
     (permits.JudgeTimer, permits.fire_judge),
     (permits.HostsTimer, permits.fire_hosts),
     (requests.DeadlineTimer, requests.fire_deadline),
-    (requests.KeeperTimer, requests.fire_keeper),
-    (requests.HedgeTimer, requests.fire_hedge),
+    (attempts.KeeperTimer, attempts.fire_keeper),
+    (attempts.HedgeTimer, attempts.fire_hedge),
     (requests.RetryTimer, requests.fire_retry),
     (records.ReplicaTimer, records.fire_replica),
     (records.SweepTimer, records.fire_sweep),
--- a/packages/coordination/acaciafield/state.py
+++ b/packages/coordination/acaciafield/state.py
@@ -3,6 +3,7 @@
 import collections
 import random
 
+from acaciafield import attempts
 from acaciafield import binding
 from acaciafield import claims
 from acaciafield import configuration
@@ -12,7 +13,6 @@
 from acaciafield import membership
 from acaciafield import placement
 from acaciafield import records
-from acaciafield import requests
 from acaciafield import timers
 
 
@@ -100,7 +100,7 @@
         if update.status not in (membership.DEAD, membership.LEAVING):
             return
         for request in list(self.requests.values()):
-            requests.leave_keeper(request, update.node_id, self, now, out)
+            attempts.leave_keeper(request, update.node_id, self, now, out)
 
     def bind_key(self, request, key, now, out):
         """Ask the key's deciders whether the request may run."""
--- a/packages/coordination/acaciafield/workers.py
+++ b/packages/coordination/acaciafield/workers.py
@@ -111,6 +111,11 @@
         self.bad_paths = {}
         self.unlisted_since = None
 
+    @property
+    def is_canary(self):
+        """Whether the next request decides about the worker."""
+        return self.status in (Status.SUSPECT, Status.PROBATION)
+
     def count_free(self, now):
         """Return how many more requests the worker may be given."""
         if self.solo is not None or now < self.paused_until:
--- a/packages/daemon/acaciafield_daemon/callers.py
+++ b/packages/daemon/acaciafield_daemon/callers.py
@@ -24,6 +24,29 @@
 NOT_RUN = outcomes.Outcome.NOT_RUN
 
 
+class Protocol(web.RequestHandler):
+    """One caller's connection; what is no HTTP gets a problem too."""
+
+    __slots__ = ()
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Return a problem document in place of the library's page."""
+        if status >= 500:
+            title, outcome = "This node failed.", outcomes.Outcome.UNKNOWN
+        else:
+            title, outcome = "The request is no HTTP/1.1.", NOT_RUN
+        problem = problems.make_problem(status, title, outcome)
+        problem.force_close()
+        return problem
+
+
+class Server(web.Server):
+    """An HTTP server whose connections are Protocols."""
+
+    def __call__(self):
+        return Protocol(self, loop=self._loop, **self._kwargs)
+
+
 class Callers:
     """Takes requests in and waits for their answers."""
 
@@ -39,7 +62,7 @@
     async def open(self):
         """Listen for callers."""
         size = self.settings.get("callers", "head-size")
-        server = web.Server(
+        server = Server(
             self.handle,
             access_log=None,
             max_line_size=size,
--- a/packages/operator/acaciafield_operator/definitions.py
+++ b/packages/operator/acaciafield_operator/definitions.py
@@ -166,7 +166,10 @@
 
     def _add_check(self, finding):
         section, _, text = finding.partition(": ")
-        option = text.partition(" ")[0].replace("_", "-")
+        option, _, rest = text.partition(" ")
+        option = option.replace("_", "-")
+        if option in SERVICE_OPTIONS + CLASS_OPTIONS:
+            text = rest
         if any(
             f.section == section and f.option == option for f in self.findings
         ):
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import sys
 
 import cyclopts
@@ -34,11 +35,12 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(
-            self._pass("there", reader, far_writer),
-            self._pass("back", far_reader, writer),
-            return_exceptions=True,
-        )
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._pass("there", reader, far_writer),
+                self._pass("back", far_reader, writer),
+                return_exceptions=True,
+            )
 
     async def _pass(self, direction, reader, writer):
         try:
