Split probing and arrivals into modules of their own

Change: moves only; membership keeps what is believed, probing who is asked; arrivals takes requests in.

--- /dev/null
+++ b/packages/coordination/acaciafield/arrivals.py
@@ -0,0 +1,89 @@
+"""The arrival of a request: its class, its deadline, its key."""
+
+from acaciafield import attempts
+from acaciafield import classes
+from acaciafield import effects
+from acaciafield import keys
+from acaciafield import requests
+
+QUICK_DEADLINE = 10.0  # seconds, where the caller names none
+
+
+def arrive(event, state, now, out):
+    """Take a caller's request in, or refuse it at once."""
+    request_id = event.request_id
+    if not state.config.serving:
+        _refuse(
+            request_id,
+            503,
+            "This node has no configuration yet.",
+            out,
+            retry_after=1.0,
+        )
+        return
+    service = state.config.find_service(event.service)
+    if service is None:
+        text = "There is no service %s." % event.service
+        _refuse(request_id, 404, text, out)
+        return
+    work_class = service.find_class(event.method, event.class_name)
+    if work_class is None:
+        text = "The service %s has no class of work %s."
+        _refuse(request_id, 404, text % (event.service, event.class_name), out)
+        return
+    deadline = _find_deadline(work_class, event.timeout)
+    request = requests.Request(event, work_class, now + deadline)
+    parsed = _parse_key(request, out)
+    if parsed is False:
+        return
+    state.requests[request_id] = request
+    state.timers.subscribe(
+        ("deadline", request_id),
+        now + deadline,
+        requests.DeadlineTimer(request_id),
+    )
+    if parsed is None:
+        attempts.seek_permit(request, state, now, out)
+    else:
+        state.bind_key(request, parsed, now, out)
+
+
+def _parse_key(request, out):
+    event = request.event
+    if request.idempotent:
+        return None
+    if event.key is None:
+        if request.work_class.key_required:
+            text = "The class of work %s needs an Idempotency-Key."
+            _refuse(event.request_id, 400, text % request.work_class.name, out)
+            return False
+        return None
+    parsed = keys.parse_key(event.service, event.key)
+    if parsed.is_error():
+        _refuse(event.request_id, 400, parsed.error, out)
+        return False
+    return parsed.ok
+
+
+def _find_deadline(work_class, timeout):
+    deadline = {
+        classes.Target.QUICK: max(QUICK_DEADLINE, work_class.within),
+        classes.Target.ONCE: work_class.within,
+        classes.Target.FINISH: work_class.within,
+    }[work_class.target]
+    if timeout is not None:
+        deadline = min(deadline, timeout)
+    return deadline
+
+
+def _refuse(request_id, status, title, out, retry_after=None):
+    out.append(
+        effects.AnswerProblem(
+            request_id,
+            status,
+            title,
+            requests.Outcome.NOT_RUN,
+            "",
+            retry_after,
+        )
+    )
--- a/packages/coordination/acaciafield/following.py
+++ b/packages/coordination/acaciafield/following.py
@@ -9,6 +9,7 @@
 from acaciafield import messages
 from acaciafield import permits
 from acaciafield import placement
+from acaciafield import probing
 from acaciafield import structs
 
 SEEDS_PERIOD = 5.0  # seconds between reads of the list of nodes
@@ -79,7 +80,7 @@
     """Take in a host list, and share it with the next keepers."""
     if event.service == NODES:
         addresses = [h.address for h in event.hosts]
-        membership.greet_seeds(state, addresses, out)
+        probing.greet_seeds(state, addresses, out)
         return
     notice = messages.HostsNotice(event.service, event.hosts)
     changed = state.host_lists.get(event.service) != notice
--- a/packages/coordination/acaciafield/membership.py
+++ b/packages/coordination/acaciafield/membership.py
@@ -12,18 +12,10 @@
 from acaciafield import messages
 from acaciafield import structs
 
-PROBE_PERIOD = 1.0  # seconds
-DIRECT_WAIT = 0.3  # seconds before others are asked to probe
-INDIRECT_PROBES = 3
 SUSPICION = 3.0  # seconds a suspect has for an objection
 PAUSE_LIMIT = 0.6  # seconds a timer may be late before we blame ourselves
-DEAD_KEPT = 120.0  # seconds
 UPDATES_PER_MESSAGE = 6
-WELCOME_SIZE = 16  # members in one datagram
 CONFIG_PUSHES = 3
-REJOIN_PERIOD = 5.0  # seconds between exchanges of whole lists, at least
-REJOIN_COST = 0.06  # seconds of that period for each member
-
 ALIVE = "alive"
 SUSPECT = "suspect"
 LEAVING = "leaving"
@@ -117,130 +109,12 @@
         return node_id if self.is_alive(node_id) else None
 
 
-class ProbeTimer(structs.Struct):
-    """The next member is to be probed."""
-
-    __slots__ = ("due",)
-
-
-class DirectTimer(structs.Struct):
-    """The direct probe had no answer in time."""
-
-    __slots__ = ("sequence",)
-
-
-class ProbeEndTimer(structs.Struct):
-    """The probe had no answer at all."""
-
-    __slots__ = ("sequence", "due")
-
-
 class SuspicionTimer(structs.Struct):
     """The suspect had its time to object."""
 
     __slots__ = ("node_id", "version", "due")
 
 
-class RejoinTimer(structs.Struct):
-    """Lists are compared: with a live member, and with one thought dead.
-
-    Gossip may pass a member by, and a healed cut must be noticed.
-    """
-
-    __slots__ = ()
-
-
-class Probe:
-    """A probe under way."""
-
-    __slots__ = ("node_id",)
-
-    def __init__(self, node_id):
-        self.node_id = node_id
-
-
-def start_membership(state, now):
-    """Begin probing."""
-    first = now + state.random.random() * PROBE_PERIOD
-    state.timers.subscribe("probe", first, ProbeTimer(first))
-    spread = state.random.random() * REJOIN_PERIOD
-    state.timers.subscribe("rejoin", now + spread, RejoinTimer())
-
-
-def greet_seeds(state, addresses, out):
-    """Introduce this node to addresses that the platform listed."""
-    members = state.members
-    known = {
-        "%s:%d" % (m.update.ip, m.update.peer_port)
-        for m in members.table.values()
-        if m.status != DEAD
-    }
-    own = "%s:%d" % (members.own.ip, members.own.peer_port)
-    unknown = [a for a in addresses if a not in known and a != own]
-    if len(known) > len(addresses) / 2:
-        unknown = unknown[:1]
-    state.random.shuffle(unknown)
-    for address in unknown[:INDIRECT_PROBES]:
-        out.append(
-            effects.SendToAddress(address, messages.Join([members.own]))
-        )
-
-
-def fire_probe(timer, state, now, out):
-    """Probe the next member in a shuffled round."""
-    members = state.members
-    due = now + PROBE_PERIOD
-    state.timers.subscribe("probe", due, ProbeTimer(due))
-    if now - timer.due > PAUSE_LIMIT:
-        members.pending.clear()
-    node_id = _next_target(state)
-    _forget_dead(members, now)
-    if node_id is None:
-        return
-    members.sequence += 1
-    sequence = members.sequence
-    members.pending[sequence] = Probe(node_id)
-    out.append(effects.Send(node_id, _make_ping(state, sequence)))
-    state.timers.subscribe(
-        ("direct", sequence), now + DIRECT_WAIT, DirectTimer(sequence)
-    )
-    end = now + PROBE_PERIOD
-    state.timers.subscribe(
-        ("probe-end", sequence), end, ProbeEndTimer(sequence, end)
-    )
-
-
-def fire_direct(timer, state, now, out):
-    """Ask other members to probe the silent one."""
-    probe = state.members.pending.get(timer.sequence)
-    if probe is None:
-        return
-    others = [n for n in state.members.list_usable() if n != probe.node_id]
-    others = [n for n in others if n != state.members.own.node_id]
-    count = min(INDIRECT_PROBES, len(others))
-    for node_id in state.random.sample(others, count):
-        out.append(
-            effects.Send(
-                node_id,
-                messages.PingRequest(
-                    timer.sequence, probe.node_id, _pick_updates(state)
-                ),
-            )
-        )
-
-
-def fire_probe_end(timer, state, now, out):
-    """Suspect the member, unless this node itself was paused."""
-    probe = state.members.pending.pop(timer.sequence, None)
-    if probe is None or now - timer.due > PAUSE_LIMIT:
-        return
-    member = state.members.table.get(probe.node_id)
-    if member is None or member.status in (SUSPECT, DEAD):
-        return
-    suspect = copy_update(member.update, status=SUSPECT)
-    apply_update(state, suspect, now, out)
-
-
 def fire_suspicion(timer, state, now, out):
     """Declare the suspect dead if nobody objected."""
     member = state.members.table.get(timer.node_id)
@@ -254,100 +128,13 @@
     apply_update(state, copy_update(member.update, status=DEAD), now, out)
 
 
-def fire_rejoin(timer, state, now, out):
-    """Ask a live member for its list, and greet one thought dead."""
-    members = state.members
-    period = max(REJOIN_PERIOD, REJOIN_COST * len(members.table))
-    state.timers.subscribe("rejoin", now + period, timer)
-    live = [m for m in members.table.values() if m.status != DEAD]
-    dead = [
-        m for m in members.table.values() if m.status == DEAD and not m.leaving
-    ]
-    if live:
-        update = state.random.choice(live).update
-        join = messages.Join([members.own])
-        out.append(effects.Send(update.node_id, join))
-    if dead:
-        update = state.random.choice(dead).update
-        address = "%s:%d" % (update.ip, update.peer_port)
-        join = messages.Join([members.own, update])
-        out.append(effects.SendToAddress(address, join))
-
-
-def receive_ping(message, state, sender, now, out):
-    """Answer a probe."""
-    apply_updates(state, message.updates, now, out)
-    reply = messages.Ack(
-        message.sequence,
-        state.members.own.node_id,
-        _pick_updates(state),
-        state.config.offset,
-        state.config.read_digest(),
-    )
-    out.append(effects.Send(sender, reply))
-    state.compare_config(sender, message.offset, message.digest, now, out)
-
-
-def receive_ack(message, state, sender, now, out):
-    """Close the probe, or pass the answer on to who asked for it."""
-    members = state.members
-    apply_updates(state, message.updates, now, out)
-    relayed = members.relayed.pop(message.sequence, None)
-    if relayed is not None:
-        asker, sequence = relayed
-        forward = messages.Ack(sequence, message.node_id, [], 0, "")
-        out.append(effects.Send(asker, forward))
-        return
-    probe = members.pending.get(message.sequence)
-    if probe is not None and probe.node_id == message.node_id:
-        del members.pending[message.sequence]
-        state.timers.cancel(("direct", message.sequence))
-        state.timers.cancel(("probe-end", message.sequence))
-    if sender == message.node_id:
-        state.compare_config(sender, message.offset, message.digest, now, out)
-
-
-def receive_ping_request(message, state, sender, now, out):
-    """Probe a member on behalf of the sender."""
-    members = state.members
-    apply_updates(state, message.updates, now, out)
-    if message.node_id not in members.table:
-        return
-    members.sequence += 1
-    if len(members.relayed) > 256:
-        members.relayed.clear()
-    members.relayed[members.sequence] = (sender, message.sequence)
-    ping = _make_ping(state, members.sequence)
-    out.append(effects.Send(message.node_id, ping))
-
-
-def receive_join(message, state, sender, now, out):
-    """Take a new node in and tell it of the members."""
-    apply_updates(state, message.updates, now, out)
-    updates = [m.update for m in state.members.table.values()]
-    updates = [u for u in updates if u.status != DEAD]
-    updates.append(state.members.own)
-    for start in range(0, len(updates), WELCOME_SIZE):
-        part = updates[start : start + WELCOME_SIZE]
-        welcome = messages.Welcome(
-            part, state.config.offset, state.config.read_digest()
-        )
-        out.append(effects.Send(sender, welcome))
-
-
-def receive_welcome(message, state, sender, now, out):
-    """Learn of the members."""
-    apply_updates(state, message.updates, now, out)
-    state.compare_config(sender, message.offset, message.digest, now, out)
-
-
 def push_config(state, out):
     """Tell a few random members that the configuration moved on."""
     members = state.members
     others = [n for n in members.list_usable() if n != members.own.node_id]
     count = min(CONFIG_PUSHES, len(others))
     for node_id in state.random.sample(others, count):
-        out.append(effects.Send(node_id, _make_ping(state, 0)))
+        out.append(effects.Send(node_id, make_ping(state, 0)))
 
 
 def announce(state, **changes):
@@ -424,42 +211,16 @@
     )
 
 
-def _next_target(state):
-    members = state.members
-    while True:
-        while members.ring:
-            node_id = members.ring.pop()
-            member = members.table.get(node_id)
-            if member is not None and member.status != DEAD:
-                return node_id
-        members.ring = [
-            n for n, m in members.table.items() if m.status != DEAD
-        ]
-        if not members.ring:
-            return None
-        state.random.shuffle(members.ring)
-
-
-def _forget_dead(members, now):
-    if members.ring:
-        return
-    for node_id in list(members.table):
-        member = members.table[node_id]
-        if member.status == DEAD and now - member.changed > DEAD_KEPT:
-            del members.table[node_id]
-            members.gossip.pop(node_id, None)
-
-
-def _make_ping(state, sequence):
+def make_ping(state, sequence):
     return messages.Ping(
         sequence,
-        _pick_updates(state),
+        pick_updates(state),
         state.config.offset,
         state.config.read_digest(),
     )
 
 
-def _pick_updates(state):
+def pick_updates(state):
     members = state.members
     limit = 3 * math.ceil(math.log2(len(members.table) + 2))
     names = sorted(members.gossip, key=members.gossip.get)
--- a/packages/coordination/acaciafield/node.py
+++ b/packages/coordination/acaciafield/node.py
@@ -26,9 +26,9 @@
 from acaciafield import following
 from acaciafield import handover
 from acaciafield import keys
-from acaciafield import membership
 from acaciafield import messages
 from acaciafield import placement
+from acaciafield import probing
 from acaciafield import records
 from acaciafield import reducer
 from acaciafield import state as states
@@ -81,7 +81,7 @@
         """Begin; return the first effects."""
         out = []
         self.state.now = now
-        membership.start_membership(self.state, now)
+        probing.start_probing(self.state, now)
         records.start_records(self.state, now)
         following.start_following(self.state, now, out)
         return out
--- /dev/null
+++ b/packages/coordination/acaciafield/probing.py
@@ -0,0 +1,255 @@
+"""Probes: who is asked, who asks for others, who greets whom."""
+
+from acaciafield import effects
+from acaciafield import membership
+from acaciafield import messages
+from acaciafield import structs
+
+PROBE_PERIOD = 1.0  # seconds
+DIRECT_WAIT = 0.3  # seconds before others are asked to probe
+INDIRECT_PROBES = 3
+DEAD_KEPT = 120.0  # seconds
+WELCOME_SIZE = 16  # members in one datagram
+REJOIN_PERIOD = 5.0  # seconds between exchanges of whole lists, at least
+REJOIN_COST = 0.06  # seconds of that period for each member
+
+
+class ProbeTimer(structs.Struct):
+    """The next member is to be probed."""
+
+    __slots__ = ("due",)
+
+
+class DirectTimer(structs.Struct):
+    """The direct probe had no answer in time."""
+
+    __slots__ = ("sequence",)
+
+
+class ProbeEndTimer(structs.Struct):
+    """The probe had no answer at all."""
+
+    __slots__ = ("sequence", "due")
+
+
+class RejoinTimer(structs.Struct):
+    """Lists are compared: with a live member, and with one thought dead.
+
+    Gossip may pass a member by, and a healed cut must be noticed.
+    """
+
+    __slots__ = ()
+
+
+class Probe:
+    """A probe under way."""
+
+    __slots__ = ("node_id",)
+
+    def __init__(self, node_id):
+        self.node_id = node_id
+
+
+def start_probing(state, now):
+    """Begin probing."""
+    first = now + state.random.random() * PROBE_PERIOD
+    state.timers.subscribe("probe", first, ProbeTimer(first))
+    spread = state.random.random() * REJOIN_PERIOD
+    state.timers.subscribe("rejoin", now + spread, RejoinTimer())
+
+
+def greet_seeds(state, addresses, out):
+    """Introduce this node to addresses that the platform listed."""
+    members = state.members
+    known = {
+        "%s:%d" % (m.update.ip, m.update.peer_port)
+        for m in members.table.values()
+        if m.status != membership.DEAD
+    }
+    own = "%s:%d" % (members.own.ip, members.own.peer_port)
+    unknown = [a for a in addresses if a not in known and a != own]
+    if len(known) > len(addresses) / 2:
+        unknown = unknown[:1]
+    state.random.shuffle(unknown)
+    for address in unknown[:INDIRECT_PROBES]:
+        out.append(
+            effects.SendToAddress(address, messages.Join([members.own]))
+        )
+
+
+def fire_probe(timer, state, now, out):
+    """Probe the next member in a shuffled round."""
+    members = state.members
+    due = now + PROBE_PERIOD
+    state.timers.subscribe("probe", due, ProbeTimer(due))
+    if now - timer.due > membership.PAUSE_LIMIT:
+        members.pending.clear()
+    node_id = _next_target(state)
+    _forget_dead(members, now)
+    if node_id is None:
+        return
+    members.sequence += 1
+    sequence = members.sequence
+    members.pending[sequence] = Probe(node_id)
+    out.append(effects.Send(node_id, membership.make_ping(state, sequence)))
+    state.timers.subscribe(
+        ("direct", sequence), now + DIRECT_WAIT, DirectTimer(sequence)
+    )
+    end = now + PROBE_PERIOD
+    state.timers.subscribe(
+        ("probe-end", sequence), end, ProbeEndTimer(sequence, end)
+    )
+
+
+def fire_direct(timer, state, now, out):
+    """Ask other members to probe the silent one."""
+    probe = state.members.pending.get(timer.sequence)
+    if probe is None:
+        return
+    others = [n for n in state.members.list_usable() if n != probe.node_id]
+    others = [n for n in others if n != state.members.own.node_id]
+    count = min(INDIRECT_PROBES, len(others))
+    for node_id in state.random.sample(others, count):
+        out.append(
+            effects.Send(
+                node_id,
+                messages.PingRequest(
+                    timer.sequence,
+                    probe.node_id,
+                    membership.pick_updates(state),
+                ),
+            )
+        )
+
+
+def fire_probe_end(timer, state, now, out):
+    """Suspect the member, unless this node itself was paused."""
+    probe = state.members.pending.pop(timer.sequence, None)
+    if probe is None or now - timer.due > membership.PAUSE_LIMIT:
+        return
+    member = state.members.table.get(probe.node_id)
+    if member is None or member.status in (
+        membership.SUSPECT,
+        membership.DEAD,
+    ):
+        return
+    suspect = membership.copy_update(member.update, status=membership.SUSPECT)
+    membership.apply_update(state, suspect, now, out)
+
+
+def fire_rejoin(timer, state, now, out):
+    """Ask a live member for its list, and greet one thought dead."""
+    members = state.members
+    period = max(REJOIN_PERIOD, REJOIN_COST * len(members.table))
+    state.timers.subscribe("rejoin", now + period, timer)
+    live = [m for m in members.table.values() if m.status != membership.DEAD]
+    dead = [
+        m
+        for m in members.table.values()
+        if m.status == membership.DEAD and not m.leaving
+    ]
+    if live:
+        update = state.random.choice(live).update
+        join = messages.Join([members.own])
+        out.append(effects.Send(update.node_id, join))
+    if dead:
+        update = state.random.choice(dead).update
+        address = "%s:%d" % (update.ip, update.peer_port)
+        join = messages.Join([members.own, update])
+        out.append(effects.SendToAddress(address, join))
+
+
+def receive_ping(message, state, sender, now, out):
+    """Answer a probe."""
+    membership.apply_updates(state, message.updates, now, out)
+    reply = messages.Ack(
+        message.sequence,
+        state.members.own.node_id,
+        membership.pick_updates(state),
+        state.config.offset,
+        state.config.read_digest(),
+    )
+    out.append(effects.Send(sender, reply))
+    state.compare_config(sender, message.offset, message.digest, now, out)
+
+
+def receive_ack(message, state, sender, now, out):
+    """Close the probe, or pass the answer on to who asked for it."""
+    members = state.members
+    membership.apply_updates(state, message.updates, now, out)
+    relayed = members.relayed.pop(message.sequence, None)
+    if relayed is not None:
+        asker, sequence = relayed
+        forward = messages.Ack(sequence, message.node_id, [], 0, "")
+        out.append(effects.Send(asker, forward))
+        return
+    probe = members.pending.get(message.sequence)
+    if probe is not None and probe.node_id == message.node_id:
+        del members.pending[message.sequence]
+        state.timers.cancel(("direct", message.sequence))
+        state.timers.cancel(("probe-end", message.sequence))
+    if sender == message.node_id:
+        state.compare_config(sender, message.offset, message.digest, now, out)
+
+
+def receive_ping_request(message, state, sender, now, out):
+    """Probe a member on behalf of the sender."""
+    members = state.members
+    membership.apply_updates(state, message.updates, now, out)
+    if message.node_id not in members.table:
+        return
+    members.sequence += 1
+    if len(members.relayed) > 256:
+        members.relayed.clear()
+    members.relayed[members.sequence] = (sender, message.sequence)
+    ping = membership.make_ping(state, members.sequence)
+    out.append(effects.Send(message.node_id, ping))
+
+
+def receive_join(message, state, sender, now, out):
+    """Take a new node in and tell it of the members."""
+    membership.apply_updates(state, message.updates, now, out)
+    updates = [m.update for m in state.members.table.values()]
+    updates = [u for u in updates if u.status != membership.DEAD]
+    updates.append(state.members.own)
+    for start in range(0, len(updates), WELCOME_SIZE):
+        part = updates[start : start + WELCOME_SIZE]
+        welcome = messages.Welcome(
+            part, state.config.offset, state.config.read_digest()
+        )
+        out.append(effects.Send(sender, welcome))
+
+
+def receive_welcome(message, state, sender, now, out):
+    """Learn of the members."""
+    membership.apply_updates(state, message.updates, now, out)
+    state.compare_config(sender, message.offset, message.digest, now, out)
+
+
+def _next_target(state):
+    members = state.members
+    while True:
+        while members.ring:
+            node_id = members.ring.pop()
+            member = members.table.get(node_id)
+            if member is not None and member.status != membership.DEAD:
+                return node_id
+        members.ring = [
+            n for n, m in members.table.items() if m.status != membership.DEAD
+        ]
+        if not members.ring:
+            return None
+        state.random.shuffle(members.ring)
+
+
+def _forget_dead(members, now):
+    if members.ring:
+        return
+    for node_id in list(members.table):
+        member = members.table[node_id]
+        if (
+            member.status == membership.DEAD
+            and now - member.changed > DEAD_KEPT
+        ):
+            del members.table[node_id]
+            members.gossip.pop(node_id, None)
--- a/packages/coordination/acaciafield/reducer.py
+++ b/packages/coordination/acaciafield/reducer.py
@@ -6,6 +6,7 @@
 
 import functools
 
+from acaciafield import arrivals
 from acaciafield import attempts
 from acaciafield import binding
 from acaciafield import claims
@@ -16,6 +17,7 @@
 from acaciafield import membership
 from acaciafield import messages
 from acaciafield import permits
+from acaciafield import probing
 from acaciafield import records
 from acaciafield import requests
 
@@ -57,7 +59,7 @@
 
 @_apply.register
 def _apply_request(event: events.RequestArrived, state, now, out):
-    requests.arrive(event, state, now, out)
+    arrivals.arrive(event, state, now, out)
 
 
 @_apply.register
@@ -116,11 +118,11 @@
 
 
 for _kind, _handler in (
-    (messages.Ping, membership.receive_ping),
-    (messages.Ack, membership.receive_ack),
-    (messages.PingRequest, membership.receive_ping_request),
-    (messages.Join, membership.receive_join),
-    (messages.Welcome, membership.receive_welcome),
+    (messages.Ping, probing.receive_ping),
+    (messages.Ack, probing.receive_ack),
+    (messages.PingRequest, probing.receive_ping_request),
+    (messages.Join, probing.receive_join),
+    (messages.Welcome, probing.receive_welcome),
     (messages.ConfigFetch, following.receive_fetch),
     (messages.ConfigState, following.receive_state),
     (messages.ClaimsFetch, following.receive_claims_fetch),
@@ -147,11 +149,11 @@
     _receive.register(_kind, _handler)
 
 for _kind, _handler in (
-    (membership.ProbeTimer, membership.fire_probe),
-    (membership.DirectTimer, membership.fire_direct),
-    (membership.ProbeEndTimer, membership.fire_probe_end),
+    (probing.ProbeTimer, probing.fire_probe),
+    (probing.DirectTimer, probing.fire_direct),
+    (probing.ProbeEndTimer, probing.fire_probe_end),
     (membership.SuspicionTimer, membership.fire_suspicion),
-    (membership.RejoinTimer, membership.fire_rejoin),
+    (probing.RejoinTimer, probing.fire_rejoin),
     (following.ReadTimer, following.fire_read),
     (following.SeedsTimer, following.fire_seeds),
     (permits.JudgeTimer, permits.fire_judge),
