Rest a worker that goes on shedding

The stalled worker kept its slots for work long given up and shed everything; on probation it was tried every 50 ms as a canary, and each shed cost a retry, until the service's budget was gone and requests waited for it until their deadline. Ruled out: the waiting for the budget (it only made the loss visible), the busy machine. Change: a canary that is shed has failed; pauses after shedding double to 1 s.

--- a/bench/carrying.py
+++ b/bench/carrying.py
@@ -232,7 +232,7 @@
 def _cancel(effect: effects.CancelAttempt, world, node_id):
     name = (node_id, effect.request_id, effect.attempt)
     attempt = world.attempts.pop(name, None)
-    if attempt is not None:
+    if attempt is not None and attempt.worker.cancels:
         world.call_in(fakes.HOP, attempt.worker.busy.pop, name, None)
 
 
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -35,7 +35,8 @@
     """A worker with slots, faults and a ledger of what it ran.
 
     ``resets`` lets it take connections while it restarts after a crash,
-    and break them off; ``ledger`` holds (time, fingerprint, node) of
+    and break them off; without ``cancels`` work given up keeps its slot;
+    ``ledger`` holds (time, fingerprint, node) of
     every start.
     """
 
@@ -56,6 +57,7 @@
         self.crash_on = None
         self.down_until = 0.0
         self.resets = False
+        self.cancels = True
         self.crash_time = CRASH_TIME
         self.started = 0.0
         self.silent_to = set()
--- a/packages/coordination/acaciafield/endings.py
+++ b/packages/coordination/acaciafield/endings.py
@@ -18,6 +18,7 @@
     held = now - flight.started
     if ending is outcomes.Ending.ANSWERED:
         worker.refusals = 0
+        worker.sheds = 0
         keeping.mean_hold += HOLD_RATE * (held - keeping.mean_hold)
         keeping.quarantine.add_good(flight.fingerprint)
         if message.status < 500:
@@ -39,7 +40,13 @@
 
 
 def _take_shed(keeping, worker, flight, now, out):
-    if worker.status is workers.Status.SUSPECT and flight.fresh:
+    """Rest a worker that sheds; a canary it sheds is one that failed.
+
+    The keeper gives no more than a worker's slots, so what sheds is
+    busy with work that was given up, or serves another keeper too.
+    """
+    decides = worker.status is workers.Status.PROBATION or flight.fresh
+    if worker.is_canary and decides:
         ejections.add_result(
             keeping, worker, flight, None, True, False, now, out
         )
--- a/packages/coordination/acaciafield/workers.py
+++ b/packages/coordination/acaciafield/workers.py
@@ -6,7 +6,8 @@
 
 COLD_TIME = 10.0  # seconds after its start in which a worker is cold
 COLD_STEP = 2  # answers for which a cold worker gets one more slot
-SHED_PAUSE = 0.05  # seconds without new work for a worker that shed
+SHED_PAUSE = 0.05  # seconds for a worker that shed; it doubles
+MOST_SHED_PAUSE = 1.0  # seconds
 DOWN_PAUSE = 0.2  # seconds for one that refuses connections; it doubles
 MOST_DOWN_PAUSE = 2.0  # seconds
 FORGET_AFTER = 30.0  # seconds unlisted and idle
@@ -81,6 +82,7 @@
         "solo",
         "paused_until",
         "refusals",
+        "sheds",
         "crashed_at",
         "bad_paths",
         "unlisted_since",
@@ -109,6 +111,7 @@
         self.solo = None
         self.paused_until = 0.0
         self.refusals = 0
+        self.sheds = 0
         self.crashed_at = 0.0
         self.bad_paths = {}
         self.unlisted_since = None
@@ -135,7 +138,9 @@
 
     def pause_shedding(self, now):
         """Give a worker that shed a moment's rest."""
-        self.paused_until = now + SHED_PAUSE
+        pause = min(MOST_SHED_PAUSE, SHED_PAUSE * 2**self.sheds)
+        self.sheds += 1
+        self.paused_until = now + pause
 
     def pause_down(self, now):
         """Give a worker that breaks off or refuses time to come up."""
--- a/tests/test_judging_under_failure.py
+++ b/tests/test_judging_under_failure.py
@@ -233,3 +233,15 @@
     worker = find_keeping(world).workers["prices-2"]
     assert worker.ejections == 1
     assert worker.status is Status.HEALTHY
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_stalled_worker_that_goes_on_shedding_costs_nobody(seed):
+    world = support.make_world(nodes=8, seed=seed)
+    told = send_checks(world, 60, 40.0)
+    world.workers["prices-2"].cancels = False
+    make_fault(world, 10.0, "prices-2", stall=True)
+    world.run_for(60.0)
+    assert all(t.outcome is Outcome.RAN for t in told)
+    slow = [t for t in told if t.latency > 1.0]
+    assert len(slow) <= len(told) // 100
