Let another canary decide when a suspect's was a little slow

Ruled out: the evidence from the silent connections itself. Change: a suspect's canary convicts over 4 deviations, clears under 2.5, and is followed by another in between. Judging and matrix tests pass.

--- a/packages/coordination/acaciafield/ejections.py
+++ b/packages/coordination/acaciafield/ejections.py
@@ -21,6 +21,7 @@
 FORGIVE_AFTER = 600.0  # healthy seconds after which holds start anew
 GOOD_CANARIES = 3
 CANARY_SLOW = 2.5  # standard deviations
+SUSPECT_SLOW = 4.0  # standard deviations that convict a suspect at once
 PATH_HOLD = 10.0  # seconds for which one node avoids a worker
 SUSPECT_SHARE = 0.9  # of the threshold at which a worker is suspect
 LEAST_SIBLINGS = 2
@@ -180,18 +181,14 @@
 
 
 def _judge_canary(keeping, worker, latency, failed, now, out):
-    slow = latency is None
-    if not slow and keeping.baseline.known:
-        slow = keeping.baseline.measure(latency) > CANARY_SLOW
-    if failed or slow:
-        if worker.status is workers.Status.SUSPECT:
-            worker.status = workers.Status.HEALTHY
-            if not _may_remove(keeping, worker):
-                worker.last_resort = True
-                return
-        eject(keeping, worker, now, out)
+    slowness = _measure_canary(keeping, latency)
+    suspect = worker.status is workers.Status.SUSPECT
+    if not failed and suspect and CANARY_SLOW < slowness <= SUSPECT_SLOW:
         return
-    if worker.status is workers.Status.SUSPECT:
+    if failed or slowness > CANARY_SLOW:
+        _fail_canary(keeping, worker, now, out)
+        return
+    if suspect:
         _clear_suspect(keeping, worker, out)
         return
     worker.good_canaries += 1
@@ -203,6 +200,23 @@
         out.append(effects.Note("keeper", text))
 
 
+def _measure_canary(keeping, latency):
+    if latency is None:
+        return math.inf
+    if not keeping.baseline.known:
+        return 0.0
+    return keeping.baseline.measure(latency)
+
+
+def _fail_canary(keeping, worker, now, out):
+    if worker.status is workers.Status.SUSPECT:
+        worker.status = workers.Status.HEALTHY
+        if not _may_remove(keeping, worker):
+            worker.last_resort = True
+            return
+    eject(keeping, worker, now, out)
+
+
 def _clear_suspect(keeping, worker, out):
     worker.status = workers.Status.HEALTHY
     for node_id in worker.evidence.bad:
