--- a/bench/carrying.py
+++ b/bench/carrying.py
@@ -29,7 +29,7 @@
     """Copy the records in a message, as a codec would."""
     if isinstance(message, messages.ReplicateKey):
         return messages.ReplicateKey(
-            message.owner, _copy_record(message.record), message.epoch
+            message.owner, _copy_record(message.record)
         )
     if isinstance(message, messages.RecordsHandover):
         return messages.RecordsHandover(
@@ -37,7 +37,6 @@
             message.part,
             message.parts,
             [_copy_record(r) for r in message.records],
-            message.adopted,
         )
     return message
 
--- a/packages/coordination/acaciafield/handover.py
+++ b/packages/coordination/acaciafield/handover.py
@@ -168,7 +168,6 @@
             number,
             count,
             found[number * PART_SIZE : (number + 1) * PART_SIZE],
-            [],
         )
         for number in range(count)
     ]
--- a/packages/coordination/acaciafield/messages.py
+++ b/packages/coordination/acaciafield/messages.py
@@ -260,7 +260,7 @@
 class ReplicateKey(structs.Struct):
     """The home asks its replica to consent to a run, or tells its end."""
 
-    __slots__ = ("owner", "record", "epoch")
+    __slots__ = ("owner", "record")
 
 
 class ReplicaAnswer(structs.Struct):
@@ -288,7 +288,7 @@
 class RecordsHandover(structs.Struct):
     """Sealed records of a node that stops, one part of ``parts``."""
 
-    __slots__ = ("owner", "part", "parts", "records", "adopted")
+    __slots__ = ("owner", "part", "parts", "records")
 
 
 class HandoverAck(structs.Struct):
--- a/packages/coordination/acaciafield/records.py
+++ b/packages/coordination/acaciafield/records.py
@@ -212,7 +212,7 @@
         record.state = KeyState.UNKNOWN.value
     replica = state.replicas.pop(message.grant_id, None)
     if replica is not None and state.members.is_alive(replica):
-        update = messages.ReplicateKey(replica, record, record.epoch)
+        update = messages.ReplicateKey(replica, record)
         state.send(replica, update, out)
 
 
@@ -248,7 +248,7 @@
         return
     state.replicas[grant_id] = message.replica
     asked = _make_record(message, KeyState.STARTED, grant_id)
-    replicate = messages.ReplicateKey(message.replica, asked, message.epoch)
+    replicate = messages.ReplicateKey(message.replica, asked)
     state.send(message.replica, replicate, out)
     state.timers.subscribe(
         ("replica", grant_id),
--- a/tests/support.py
+++ b/tests/support.py
@@ -40,11 +40,6 @@
     return "%s.%s" % (answer.key_prefix, suffix)
 
 
-def find_host(world, key_part):
-    """Return the live node that a key names at a place."""
-    return key_part
-
-
 def name_deciders(key):
     """Return the home and the replica that a key names."""
     _, home, replica, _ = key.partition(".")[0].split("-")
