--- a/tests/test_configuration_under_failure.py
+++ b/tests/test_configuration_under_failure.py
@@ -4,6 +4,7 @@
 
 from acaciafield import configuration
 from acaciafield import events
+from acaciafield import messages
 from acaciafield import node as nodes
 from bench import fakes
 from tests import support
@@ -204,7 +205,7 @@
     old = configuration.encode_record(fold.take_snapshot()).decode()
     second = support.encode_change("c2", make_items(0.2, 1))
     fold.read_records(0, [(1, second)])
-    message = fakes.messages.ConfigState(1, old)
+    message = messages.ConfigState(1, old)
     node.handle(events.MessageReceived(1.0, "n2", message))
     service = fold.find_service("prices")
     assert service.classes["price-checks"].within == 0.2
