Let a node woken from a pause read its host lists before it grants

Ruled out: a permit granted before the freeze and used after. Change: after 1.5 s without any event a node reads the lists of the services it keeps and grants nothing for 0.3 s.

--- a/packages/coordination/acaciafield/granting.py
+++ b/packages/coordination/acaciafield/granting.py
@@ -44,6 +44,8 @@
 
 def dispatch(keeping, state, now, out):
     """Grant free slots to the requests whose turn it is."""
+    if now < keeping.held_until:
+        return
     _dispatch_solo(keeping, state, now, out)
     while True:
         queue = _pick_queue(keeping, now)
--- a/packages/coordination/acaciafield/keeping.py
+++ b/packages/coordination/acaciafield/keeping.py
@@ -14,6 +14,7 @@
 class Keeping:
     """One service as its keeper sees it.
 
+    Nothing is granted before ``held_until`` (seconds);
     ``slots`` counts those of the workers in use when last judged;
     ``silent`` holds the (node, worker) pairs whose open connections
     are to be dropped.
@@ -40,6 +41,7 @@
         "suspected",
         "counter",
         "slots",
+        "held_until",
         "early_held",
         "silent",
     )
@@ -65,6 +67,7 @@
         self.suspected = 0
         self.counter = 0
         self.slots = 0
+        self.held_until = 0.0
         self.early_held = []
         self.silent = set()
 
--- a/packages/coordination/acaciafield/permits.py
+++ b/packages/coordination/acaciafield/permits.py
@@ -14,6 +14,8 @@
 from acaciafield import workers
 
 JUDGE_PERIOD = 0.1  # seconds
+WAKE_GAP = 1.5  # seconds without any event that tell of a pause
+WAKE_HOLD = 0.3  # seconds without grants after a pause
 
 
 class JudgeTimer(structs.Struct):
@@ -53,6 +55,16 @@
     return keeping
 
 
+def wake(state, now, out):
+    """Read host lists anew after a pause, and grant nothing meanwhile.
+
+    What this node knew of leaving workers may be long out of date.
+    """
+    for service, keeping in state.services.items():
+        keeping.held_until = now + WAKE_HOLD
+        out.append(effects.ReadHosts(service))
+
+
 def fire_judge(timer, state, now, out):
     """Judge the workers, and let go of a service long unused."""
     keeping = state.services[timer.service]
--- a/packages/coordination/acaciafield/reducer.py
+++ b/packages/coordination/acaciafield/reducer.py
@@ -26,6 +26,8 @@
     """Apply an event to the state; return the effects it asks for."""
     out = []
     now = event.now
+    if now - state.now > permits.WAKE_GAP:
+        permits.wake(state, now, out)
     state.now = now
     _apply(event, state, now, out)
     while state.local:
--- a/tests/test_leaving_under_failure.py
+++ b/tests/test_leaving_under_failure.py
@@ -153,3 +153,20 @@
     world.run_for(20.0)
     assert told.outcome is Outcome.RAN
     assert not world.list_live()
+
+
+def test_woken_keeper_gives_a_leaving_worker_no_work():
+    world = support.make_world(nodes=6)
+    judging.send_checks(world, 60, 30.0)
+    world.run_for(4.0)
+    keeper = world.ask_addresses(world.list_live()[0], "prices")
+    keeper = keeper.addresses[0].partition(":")[0]
+    world.freeze(keeper)
+    world.listed["prices-3"] = "leaving"
+    left_at = world.now
+    for number in range(12):
+        world.request(keeper, "prices", "check-in-hand-%d" % number)
+    world.run_for(8.0)
+    world.thaw(keeper)
+    world.run_for(10.0)
+    assert count_late_runs(world, "prices-3", left_at + 3.0) == 0
