Choose a replica and a successor by one function

Cause: a reading of the whole change: the node to consent to a key, the one that an address answer names, and the successor of a stop were chosen by three copies of the same lines; three fields of state were read by nobody. Change: placement.choose_other serves all three; the dead fields are gone. Behaviour is as it was.

--- a/packages/coordination/acaciafield/handover.py
+++ b/packages/coordination/acaciafield/handover.py
@@ -28,13 +28,12 @@
 class Stopping:
     """The state of a planned stop."""
 
-    __slots__ = ("phase", "successor", "unacked", "asked_again", "validity")
+    __slots__ = ("phase", "successor", "unacked", "validity")
 
     def __init__(self, validity):
         self.phase = Phase.SERVING
         self.successor = None
         self.unacked = {}
-        self.asked_again = 0
         self.validity = validity
 
 
@@ -48,7 +47,6 @@
     """Leave: no more new work, while stale callers are still served."""
     stopping = state.stopping
     if stopping.phase is not Phase.SERVING:
-        stopping.asked_again += 1
         return
     stopping.phase = Phase.LEAVING
     membership.announce(state, status=membership.LEAVING)
@@ -155,9 +153,8 @@
 
 
 def _choose_successor(state):
-    usable = [n for n in state.members.list_usable() if n != state.node_id]
-    ranked = placement.rank_nodes(state.node_id, usable, 1)
-    return ranked[0] if ranked else None
+    usable = state.members.list_usable()
+    return placement.choose_other(state.node_id, usable)
 
 
 def _split(owner, found):
--- a/packages/coordination/acaciafield/membership.py
+++ b/packages/coordination/acaciafield/membership.py
@@ -51,9 +51,7 @@
         "sequence",
         "pending",
         "relayed",
-        "next_probe",
         "gossip",
-        "seeds",
         "usable",
     )
 
@@ -65,9 +63,7 @@
         self.sequence = 0
         self.pending = {}
         self.relayed = {}
-        self.next_probe = 0.0
         self.gossip = {own.node_id: 0}
-        self.seeds = set()
         self.usable = None
 
     def get_update(self, node_id):
--- a/packages/coordination/acaciafield/node.py
+++ b/packages/coordination/acaciafield/node.py
@@ -112,9 +112,7 @@
         ranked = attempts.rank_keepers(self.state, service)
         ranked = ranked[:MOST_ADDRESSES]
         home = ranked[0]
-        others = [n for n in usable if n != home]
-        replicas = placement.rank_nodes(home, others, 1)
-        replica = replicas[0] if replicas else None
+        replica = placement.choose_other(home, usable)
         updates = [self.state.members.get_update(n) for n in ranked]
         addresses = ["%s:%d" % (u.ip, u.http_port) for u in updates]
         prefix = keys.issue_prefix(home, replica, now)
--- a/packages/coordination/acaciafield/placement.py
+++ b/packages/coordination/acaciafield/placement.py
@@ -18,6 +18,17 @@
     return heapq.nlargest(count, node_ids, key=lambda n: _weigh(name, n))
 
 
+def choose_other(node_id, node_ids):
+    """Return the best node for another node's sake, or None.
+
+    >>> choose_other("a", ["a"]) is None
+    True
+    """
+    others = [n for n in node_ids if n != node_id]
+    ranked = rank_nodes(node_id, others, 1)
+    return ranked[0] if ranked else None
+
+
 def _weigh(name, node_id):
     text = "%s|%s" % (name, node_id)
     return (xxhash.xxh3_64_intdigest(text.encode()), node_id)
--- a/packages/coordination/acaciafield/state.py
+++ b/packages/coordination/acaciafield/state.py
@@ -87,9 +87,7 @@
     def choose_replica(self):
         """Return the node that shall consent to runs homed here."""
         usable = self.members.list_usable()
-        others = [n for n in usable if n != self.node_id]
-        ranked = placement.rank_nodes(self.node_id, others, 1)
-        return ranked[0] if ranked else None
+        return placement.choose_other(self.node_id, usable)
 
     def compare_config(self, sender, offset, digest, now, out):
         """Fetch the configuration from a node that is ahead."""
