--- /dev/null
+++ b/packages/coordination/acaciafield/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a gateway: routes, grants, membership; no I/O."""
--- /dev/null
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -0,0 +1,166 @@
+"""Workers of a service as a coordinator sees them."""
+
+import math
+
+from acaciafield import structs
+
+FIRST_RISK = 0.7  # probability that a worker which failed fails again
+GOOD_FACTOR = 0.4  # a good answer multiplies the risk by this
+DECAY = 2.5  # seconds in which the risk of one failure falls to 1/e
+MOST_DECAY = 12.0  # seconds, after failures in a row
+FLIGHT_SLACK = 1.0  # seconds past its deadline that a flight is kept
+PATH_REST = 3.0  # seconds that a path which took no connection is avoided
+FULL_REST = 0.25  # seconds that a worker which refused is avoided
+HANG_MEANS = 3.0  # mean latencies after which a request looks stuck
+HANG_SPAN = 4.0  # mean latencies over which the suspicion grows
+MOST_HANG_RISK = 0.9
+NEGLIGIBLE_RISK = 0.02
+
+
+class WorkerEntry(structs.Struct):
+    """What a worker says of itself in the platform's store.
+
+    ``born`` is the Unix millisecond of its start; ``warm_up`` the
+    seconds for which it stays slow.
+    """
+
+    __slots__ = (
+        "worker_id",
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "draining",
+        "warm_up",
+        "born",
+    )
+
+
+class Latency:
+    """Moving mean of latency (seconds) and size (bytes) of a route."""
+
+    __slots__ = ("mean", "deviation", "size", "count")
+
+    RATE = 0.05  # weight of a new value
+    CLIP = 4.0  # a value counts as at most this many means
+
+    def __init__(self, guess):
+        self.mean = guess
+        self.deviation = guess / 2.0
+        self.size = 5000.0
+        self.count = 0
+
+    def add(self, latency, size):
+        """Take in one answer."""
+        self.count += 1
+        rate = max(self.RATE, 1.0 / (1.0 + self.count))
+        value = min(latency, self.CLIP * self.mean)
+        error = value - self.mean
+        self.mean += rate * error
+        self.deviation += rate * (abs(error) - self.deviation)
+        self.size += rate * (size - self.size)
+
+    @property
+    def high(self):
+        """A latency (seconds) that few answers exceed."""
+        return self.mean + 3.0 * self.deviation
+
+
+class Worker:
+    """A worker with what runs there and how far it is trusted.
+
+    ``risk`` is the estimated probability that it fails a request, as of
+    ``risk_at``; it decays with the time constant ``decay``.
+    """
+
+    __slots__ = (
+        "entry",
+        "flights",
+        "warm_at",
+        "risk",
+        "risk_at",
+        "decay",
+        "failures",
+        "full_until",
+        "bad_paths",
+        "used",
+    )
+
+    def __init__(self, entry, now):
+        self.entry = entry
+        self.flights = {}
+        self.warm_at = now + entry.warm_up
+        self.risk = 0.0
+        self.risk_at = now
+        self.decay = DECAY
+        self.failures = 0
+        self.full_until = now
+        self.bad_paths = {}
+        self.used = False
+
+    def take_entry(self, entry, now):
+        """Take in a newer entry; a restart clears what was known."""
+        if entry.born != self.entry.born:
+            self.risk, self.failures, self.decay = 0.0, 0, DECAY
+            self.flights.clear()
+            self.bad_paths.clear()
+        self.entry = entry
+        self.warm_at = now + entry.warm_up
+
+    def read_risk(self, now):
+        """Return the present probability of a failure."""
+        if self.risk < NEGLIGIBLE_RISK:
+            return 0.0
+        age = max(0.0, now - self.risk_at)
+        return self.risk * math.exp(-age / self.decay)
+
+    def note_good(self, started, now):
+        """Count a good answer to a request that began at ``started``."""
+        if started < self.risk_at:
+            return
+        self.risk = self.read_risk(now) * GOOD_FACTOR
+        if self.risk < NEGLIGIBLE_RISK:
+            self.failures, self.decay = 0, DECAY
+        self.risk_at = max(self.risk_at, started)
+
+    def note_failure(self, now, weight=1.0):
+        """Count a failure; ``weight`` scales it, 1 for a plain one."""
+        known = self.read_risk(now)
+        self.risk = known + (1.0 - known) * FIRST_RISK * weight
+        self.risk_at = now
+        if weight >= 1.0:
+            self.failures += 1
+            self.decay = min(MOST_DECAY, DECAY * self.failures)
+
+    def note_bad_path(self, node, now):
+        """Count a connection that the worker did not take in time."""
+        self.bad_paths[node] = now + PATH_REST
+        live = sum(1 for until in self.bad_paths.values() if until > now)
+        self.note_failure(now, 0.3 if live < 2 else 1.0)
+
+    def is_path_bad(self, node, now):
+        """Tell whether a node failed to connect a short while ago."""
+        until = self.bad_paths.get(node)
+        if until is None:
+            return False
+        if until > now:
+            return True
+        del self.bad_paths[node]
+        return False
+
+    def drop_expired(self, now):
+        """Forget flights whose end was never reported."""
+        for ask_id, flight in list(self.flights.items()):
+            if now > flight.expires + FLIGHT_SLACK:
+                del self.flights[ask_id]
+
+    def estimate_hang(self, latencies, now):
+        """Return the risk that the oldest flight has got stuck."""
+        worst = 0.0
+        for flight in self.flights.values():
+            latency = latencies.get(flight.route)
+            if latency is None or not latency.count:
+                continue
+            means = (now - flight.started) / max(latency.mean, 1e-3)
+            worst = max(worst, (means - HANG_MEANS) / HANG_SPAN)
+        return min(MOST_HANG_RISK, worst) if worst > 0.0 else 0.0
--- /dev/null
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -0,0 +1,496 @@
+"""The reducer of a gateway's node: events in, effects out.
+
+Every node can coordinate. It does so while others send it heartbeats
+or asks, and then follows the platform's store.
+"""
+
+import functools
+import random
+
+from acaciafield import structs
+from acaciafield import timers
+from acaciafield.gateway import granting
+from acaciafield.gateway import members
+from acaciafield.gateway import messages
+
+DUTY_TIME = 3.0  # seconds that a node coordinates after it was asked to
+SWEEP_PERIOD = 1.0  # seconds between sweeps of lost reports
+DISPATCH_PERIOD = 0.02  # seconds between looks at queues that wait
+ALONE_AFTER = 1.0  # seconds without a coordinator before a node acts alone
+
+
+class MessageReceived(structs.Struct):
+    """A message came from ``sender``, an ip or "" for this node."""
+
+    __slots__ = ("now", "sender", "message")
+
+
+class WorkersRead(structs.Struct):
+    """The store's list of workers, as backends.WorkerEntry."""
+
+    __slots__ = ("now", "entries")
+
+
+class StoreHeard(structs.Struct):
+    """The platform's store answered."""
+
+    __slots__ = ("now",)
+
+
+class ConfigurationHeld(structs.Struct):
+    """This node now holds a version of the configuration."""
+
+    __slots__ = ("now", "version")
+
+
+class MembersRead(structs.Struct):
+    """Nodes that the store or the settings name, as members.Member."""
+
+    __slots__ = ("now", "members")
+
+
+class StopAsked(structs.Struct):
+    """The node shall leave."""
+
+    __slots__ = ("now",)
+
+
+class Tick(structs.Struct):
+    """Time passed."""
+
+    __slots__ = ("now",)
+
+
+class Send(structs.Struct):
+    """Send a message to the node at ``ip``."""
+
+    __slots__ = ("ip", "message")
+
+
+class Deliver(structs.Struct):
+    """Hand an answer to the request of this node that waits for it."""
+
+    __slots__ = ("message",)
+
+
+class FetchConfiguration(structs.Struct):
+    """Fetch the configuration from the node at ``ip``."""
+
+    __slots__ = ("ip", "version")
+
+
+class FollowStore(structs.Struct):
+    """Begin or end to follow the store's list of workers."""
+
+    __slots__ = ("active",)
+
+
+class Note(structs.Struct):
+    """A decision for the log; ``fields`` is a dictionary."""
+
+    __slots__ = ("kind", "fields")
+
+
+class BeatTimer(structs.Struct):
+    """Heartbeats are due."""
+
+    __slots__ = ()
+
+
+class SweepTimer(structs.Struct):
+    """What was never reported is to be forgotten."""
+
+    __slots__ = ()
+
+
+class DispatchTimer(structs.Struct):
+    """Queues are to be looked at."""
+
+    __slots__ = ()
+
+
+class NodeState:
+    """Everything that a node of a gateway knows besides its requests."""
+
+    __slots__ = (
+        "now",
+        "own",
+        "terms",
+        "random",
+        "timers",
+        "view",
+        "registry",
+        "desks",
+        "entries",
+        "duty_until",
+        "following",
+        "store_at",
+        "answered_at",
+        "config_version",
+        "ready",
+        "leaving",
+    )
+
+    def __init__(self, own, terms, seed):
+        self.now = 0.0
+        self.own = own
+        self.terms = terms
+        self.random = random.Random(seed)
+        self.timers = timers.Timers()
+        self.view = members.View(own)
+        self.registry = members.Registry()
+        self.desks = {}
+        self.entries = None
+        self.duty_until = 0.0
+        self.following = False
+        self.store_at = None
+        self.answered_at = None
+        self.config_version = 0
+        self.ready = False
+        self.leaving = False
+
+    def start(self, now):
+        """Begin; return the first effects."""
+        self.now = now
+        self.answered_at = now
+        self.timers.subscribe("beat", now, BeatTimer())
+        self.timers.subscribe("sweep", now + SWEEP_PERIOD, SweepTimer())
+        return []
+
+    def find_desk(self, service):
+        """Return the desk of a service."""
+        desk = self.desks.get(service)
+        if desk is None:
+            desk = granting.Desk(service, self.terms, self.random)
+            self.desks[service] = desk
+            _fill_desk(self, desk)
+        return desk
+
+    def read_store_age(self, now):
+        """Return the seconds since the store was heard."""
+        if self.store_at is None:
+            return 3600.0
+        return now - self.store_at
+
+    def next_due(self):
+        """Return when a tick is needed next, in seconds, or None."""
+        return self.timers.next_due()
+
+
+def reduce_event(state, event):
+    """Apply an event to the state; return the effects it asks for."""
+    out = []
+    state.now = event.now
+    _apply(event, state, event.now, out)
+    return out
+
+
+@functools.singledispatch
+def _apply(event, state, now, out):
+    raise TypeError("unknown event %r" % (event,))
+
+
+@functools.singledispatch
+def _receive(message, state, sender, now, out):
+    raise TypeError("unknown message %r" % (message,))
+
+
+@functools.singledispatch
+def _fire(timer, state, now, out):
+    raise TypeError("unknown timer %r" % (timer,))
+
+
+@_apply.register
+def _apply_tick(event: Tick, state, now, out):
+    for timer in state.timers.pop_due(now):
+        _fire(timer, state, now, out)
+
+
+@_apply.register
+def _apply_message(event: MessageReceived, state, now, out):
+    _receive(event.message, state, event.sender, now, out)
+
+
+@_apply.register
+def _apply_workers(event: WorkersRead, state, now, out):
+    state.entries = {}
+    for entry in event.entries:
+        state.entries.setdefault(entry.service, []).append(entry)
+    for desk in state.desks.values():
+        _fill_desk(state, desk)
+        _dispatch(desk, state, now, out)
+
+
+def _fill_desk(state, desk):
+    if state.entries is not None:
+        desk.take_entries(state.entries.get(desk.service, ()), state.now)
+
+
+@_apply.register
+def _apply_store(event: StoreHeard, state, now, out):
+    state.store_at = now
+
+
+@_apply.register
+def _apply_configuration(event: ConfigurationHeld, state, now, out):
+    if event.version <= state.config_version:
+        return
+    state.config_version = event.version
+    if now >= state.duty_until:
+        return
+    notice = messages.ConfigNotice(state.own.name, event.version)
+    for member, _ in state.registry.table.values():
+        if member.name != state.own.name:
+            out.append(Send(member.ip, notice))
+
+
+@_apply.register
+def _apply_members(event: MembersRead, state, now, out):
+    for member in event.members:
+        state.view.add_candidate(member)
+
+
+@_apply.register
+def _apply_stop(event: StopAsked, state, now, out):
+    state.leaving = True
+    _beat(state, now, out)
+
+
+def _send(state, ip, message, out):
+    if not ip or ip == state.own.ip:
+        out.append(Deliver(message))
+    else:
+        out.append(Send(ip, message))
+
+
+def _take_duty(state, now, out):
+    state.duty_until = now + DUTY_TIME
+    if not state.following:
+        state.following = True
+        out.append(FollowStore(True))
+        out.append(Note("duty", {"taken": True}))
+
+
+@_fire.register
+def _fire_beat(timer: BeatTimer, state, now, out):
+    state.timers.subscribe("beat", now + members.BEAT_PERIOD, timer)
+    _beat(state, now, out)
+    if now - state.answered_at > ALONE_AFTER:
+        _take_duty(state, now, out)
+    if state.following and now > state.duty_until:
+        state.following = False
+        state.desks.clear()
+        state.entries = None
+        out.append(FollowStore(False))
+        out.append(Note("duty", {"taken": False}))
+    gone = state.registry.drop_silent(now)
+    if gone:
+        out.append(Note("members", {"gone": gone}))
+        _push_list(state, out)
+
+
+def _beat(state, now, out):
+    own = state.own
+    for contact in state.view.list_targets(now):
+        beat = messages.Beat(
+            own.name,
+            own.born,
+            own.ip,
+            own.zone,
+            own.weight,
+            state.ready,
+            state.leaving,
+            state.config_version,
+            state.view.digest,
+            _wants_list(state, contact, now),
+        )
+        contact.beaten_at = now
+        if contact.first_beat is None:
+            contact.first_beat = now
+        if contact.member.name == own.name:
+            _receive_beat(beat, state, "", now, out)
+        else:
+            out.append(Send(contact.member.ip, beat))
+
+
+def _wants_list(state, contact, now):
+    if contact.member.zone == state.own.zone:
+        return True
+    near = state.view.find_coordinator(state.own.zone, now)
+    return near is None or near.is_silent(now)
+
+
+@_fire.register
+def _fire_sweep(timer: SweepTimer, state, now, out):
+    state.timers.subscribe("sweep", now + SWEEP_PERIOD, timer)
+    for desk in state.desks.values():
+        desk.sweep(now)
+
+
+@_fire.register
+def _fire_dispatch(timer: DispatchTimer, state, now, out):
+    for desk in state.desks.values():
+        _dispatch(desk, state, now, out)
+
+
+@_receive.register
+def _receive_beat(message: messages.Beat, state, sender, now, out):
+    _take_duty(state, now, out)
+    changed = state.registry.take_beat(message, now)
+    registry = state.registry
+    rows = None
+    if message.wants_list and message.digest != registry.digest:
+        rows = registry.list_rows()
+    answer = messages.BeatAnswer(
+        state.own.name,
+        state.own.born,
+        state.config_version,
+        round(state.read_store_age(now), 2),
+        registry.digest,
+        rows,
+    )
+    if message.name == state.own.name:
+        _receive_answer(answer, state, "", now, out)
+    else:
+        out.append(Send(message.ip, answer))
+        _compare_version(message.config_version, message.ip, state, out)
+    if changed:
+        _push_list(state, out)
+
+
+def _push_list(state, out):
+    registry = state.registry
+    answer = messages.BeatAnswer(
+        state.own.name,
+        state.own.born,
+        state.config_version,
+        round(state.read_store_age(state.now), 2),
+        registry.digest,
+        registry.list_rows(),
+    )
+    for member, _ in registry.table.values():
+        if member.zone != state.own.zone:
+            continue
+        if member.name == state.own.name:
+            state.view.take_members(answer.members, answer.digest)
+        else:
+            out.append(Send(member.ip, answer))
+
+
+@_receive.register
+def _receive_answer(message: messages.BeatAnswer, state, sender, now, out):
+    contact = state.view.contacts.get(message.name)
+    if contact is None:
+        return
+    contact.heard_at = now
+    contact.store_age = message.store_age
+    contact.ask_rest = 0.0
+    state.answered_at = now
+    if message.members is not None:
+        chosen = state.view.find_coordinator(state.own.zone, now)
+        if chosen is contact or chosen is None or chosen.is_silent(now):
+            state.view.take_members(message.members, message.digest)
+    _compare_version(message.config_version, contact.member.ip, state, out)
+
+
+def _compare_version(version, ip, state, out):
+    if version > state.config_version and ip != state.own.ip:
+        out.append(FetchConfiguration(ip, version))
+
+
+@_receive.register
+def _receive_notice(message: messages.ConfigNotice, state, sender, now, out):
+    _compare_version(message.config_version, sender, state, out)
+
+
+@_receive.register
+def _receive_ask(message: messages.Ask, state, sender, now, out):
+    _take_duty(state, now, out)
+    if state.entries is None:
+        out.append(Note("ask-early", {"ask": message.ask_id}))
+        return
+    desk = state.find_desk(message.service)
+    answer = desk.decide(message, sender, now)
+    _answer_ask(answer, message, state, sender, out)
+    if desk.queue:
+        _arm_dispatch(state, now)
+
+
+def _answer_ask(answer, ask, state, sender, out):
+    _send(state, sender, answer, out)
+    if not isinstance(answer, messages.Grant):
+        return
+    granted = messages.Granted(
+        ask.service,
+        ask.ask_id,
+        ask.node,
+        answer.worker_id,
+        ask.route,
+        ask.left,
+        ask.repeats,
+        ask.fingerprint,
+    )
+    for zone in state.view.list_zones():
+        contact = state.view.find_coordinator(zone, state.now)
+        if contact is not None and contact.member.name != state.own.name:
+            out.append(Send(contact.member.ip, granted))
+
+
+def _arm_dispatch(state, now):
+    due = now + DISPATCH_PERIOD
+    state.timers.subscribe("dispatch", due, DispatchTimer())
+
+
+def _dispatch(desk, state, now, out):
+    for sender, ask, answer in desk.dispatch(now):
+        _answer_ask(answer, ask, state, sender, out)
+    if desk.queue:
+        _arm_dispatch(state, now)
+
+
+@_receive.register
+def _receive_granted(message: messages.Granted, state, sender, now, out):
+    if state.entries is not None:
+        state.find_desk(message.service).take_granted(message, now)
+
+
+@_receive.register
+def _receive_report(message: messages.Report, state, sender, now, out):
+    if state.entries is None:
+        return
+    desk = state.find_desk(message.service)
+    before = _read_risk(desk, message.worker_id, now)
+    desk.take_report(message, now)
+    after = _read_risk(desk, message.worker_id, now)
+    if after > before + 0.05:
+        fields = {
+            "worker": message.worker_id,
+            "service": message.service,
+            "request": message.ask_id,
+            "ending": message.ending,
+            "reported_by": message.node,
+            "risk_before": round(before, 3),
+            "risk": round(after, 3),
+        }
+        out.append(Note("risk", fields))
+    _dispatch(desk, state, now, out)
+
+
+def _read_risk(desk, worker_id, now):
+    worker = desk.workers.get(worker_id)
+    return worker.read_risk(now) if worker is not None else 0.0
+
+
+@_receive.register
+def _receive_withdrawal(message: messages.Withdrawal, state, sender, now, out):
+    desk = state.desks.get(message.service)
+    if desk is not None:
+        desk.withdraw(message.ask_id)
+        _dispatch(desk, state, now, out)
+
+
+@_receive.register(messages.Grant)
+@_receive.register(messages.Queued)
+@_receive.register(messages.Refusal)
+def _receive_reply(message, state, sender, now, out):
+    out.append(Deliver(message))
--- /dev/null
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -0,0 +1,350 @@
+"""Granting: which worker a request gets, and when it gets none.
+
+A desk serves one service on a coordinator. It answers for the load of a
+service near and over its capacity: requests wait in order of urgency,
+and one that cannot be served in time is refused at once.
+"""
+
+import bisect
+
+from acaciafield import outcomes
+from acaciafield import quarantine
+from acaciafield import structs
+from acaciafield.gateway import backends
+from acaciafield.gateway import budgets
+from acaciafield.gateway import messages
+
+Ending = outcomes.Ending
+
+UNSAFE_RISK_WEIGHT = 10.0  # cost of a sure failure that cannot be repeated
+SAFE_RISK_WEIGHT = 3.0  # cost of a sure failure that can be repeated
+ZONE_COST = 0.15  # cost of a worker in another availability zone
+ZONE_COST_BYTES = 60000.0  # bytes of an answer that cost one more
+COLD_COST = 0.5  # cost of a worker that is still warming up
+FULL_COST = 1.0  # cost of the last slot, in the fourth power of load
+SCOUT_RISK = 0.35  # risk below which a repeatable request may find out
+SCOUT_BONUS = 1.0  # makes the scouted worker the first choice
+SCOUT_BUDGET = 0.5  # share of the repeat budget that scouting may reach
+HOLD_SHARE = 0.5  # share of the target that a request may wait
+LEAST_RETRY_AFTER = 0.1  # seconds
+MOST_RETRY_AFTER = 3.0  # seconds
+NO_WORKER_RETRY = 0.5  # seconds after which to ask for an absent worker
+GUESSED_LATENCY = 0.25  # seconds, share of the target before any answer
+LEAST_HEDGE = 0.05  # seconds
+GIVEN_UP_MEANS = 4.0  # mean latencies after which giving up is evidence
+GIVEN_UP_WEIGHT = 0.5  # of a failure, as the request may have been long
+MOST_WAITING = 2000  # requests in one queue
+
+
+class Reason:
+    """Why an ask got no worker."""
+
+    NO_WORKERS = "no-workers"
+    OVERLOAD = "overload"
+    BUDGET = "budget"
+    QUARANTINED = "quarantined"
+    EXPIRED = "expired"
+
+
+class Waiting(structs.Struct):
+    """An ask in the queue; ``order`` sorts it, most urgent first."""
+
+    __slots__ = ("order", "ask", "sender", "expires")
+
+    def __lt__(self, other):
+        return self.order < other.order
+
+
+class Terms(structs.Struct):
+    """The operator's bounds on repeats; ``window`` in seconds."""
+
+    __slots__ = ("ratio", "slack", "window")
+
+
+class Flight(structs.Struct):
+    """A request at a worker; ``expires`` in seconds."""
+
+    __slots__ = (
+        "ask_id",
+        "node",
+        "route",
+        "started",
+        "expires",
+        "repeats",
+        "worker",
+    )
+
+
+class Desk:
+    """The workers, queue and budget of one service."""
+
+    __slots__ = (
+        "service",
+        "workers",
+        "queue",
+        "latencies",
+        "budget",
+        "quarantine",
+        "random",
+        "counter",
+        "flights",
+    )
+
+    def __init__(self, service, terms, random):
+        self.service = service
+        self.workers = {}
+        self.queue = []
+        self.latencies = {}
+        self.budget = budgets.WindowBudget(
+            terms.ratio, terms.slack, terms.window
+        )
+        self.quarantine = quarantine.Quarantine()
+        self.random = random
+        self.counter = 0
+        self.flights = {}
+
+    def take_entries(self, entries, now):
+        """Replace the list of workers, keeping what is known of each."""
+        seen = {entry.worker_id: entry for entry in entries}
+        for worker_id in list(self.workers):
+            if worker_id not in seen:
+                del self.workers[worker_id]
+        for worker_id, entry in seen.items():
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                self.workers[worker_id] = backends.Worker(entry, now)
+            elif entry != worker.entry:
+                worker.take_entry(entry, now)
+
+    def decide(self, ask, sender, now):
+        """Return a Grant, Queued or Refusal for an ask."""
+        flight = self.flights.get(ask.ask_id)
+        if flight is not None and flight.ask_id in flight.worker.flights:
+            return self._make_grant(ask, flight.worker)
+        if any(w.ask.ask_id == ask.ask_id for w in self.queue):
+            return messages.Queued(ask.ask_id)
+        refusal = self._find_refusal(ask, now)
+        if refusal is not None:
+            return refusal
+        worker = None
+        if not self._is_behind(ask):
+            worker = self.choose_worker(ask, now)
+        if worker is not None:
+            return self._grant(ask, worker, now)
+        return self._enqueue(ask, sender, now)
+
+    def _find_refusal(self, ask, now):
+        if self.quarantine.is_quarantined(ask.fingerprint, now):
+            return self._refuse(ask, Reason.QUARANTINED, MOST_RETRY_AFTER)
+        if not any(not w.entry.draining for w in self.workers.values()):
+            return self._refuse(ask, Reason.NO_WORKERS, NO_WORKER_RETRY)
+        if ask.repeats and self.budget.measure(now) > 1.0:
+            return self._refuse(ask, Reason.BUDGET, LEAST_RETRY_AFTER)
+        return None
+
+    def _refuse(self, ask, reason, retry_after):
+        return messages.Refusal(ask.ask_id, reason, round(retry_after, 2))
+
+    def _is_behind(self, ask):
+        return bool(self.queue) and self.queue[0].order[0] <= ask.priority
+
+    def _enqueue(self, ask, sender, now):
+        hold = min(HOLD_SHARE * ask.target, ask.left)
+        hold -= 0.0 if ask.repeats else 0.01
+        wait = self.estimate_wait(ask, now)
+        if ask.repeats or wait > hold or len(self.queue) >= MOST_WAITING:
+            return self._refuse(ask, Reason.OVERLOAD, self._spread(wait))
+        self.counter += 1
+        order = (ask.priority, now + ask.left, self.counter)
+        waiting = Waiting(order, ask, sender, now + hold)
+        bisect.insort(self.queue, waiting)
+        return messages.Queued(ask.ask_id)
+
+    def _spread(self, wait):
+        """Return when to come back, spread so that callers don't bunch."""
+        after = wait * (0.5 + self.random.random())
+        return min(MOST_RETRY_AFTER, max(LEAST_RETRY_AFTER, after))
+
+    def estimate_wait(self, ask, now):
+        """Return the seconds until an ask of this urgency gets a slot."""
+        slots = sum(
+            w.entry.slots
+            for w in self.workers.values()
+            if not w.entry.draining and w.read_risk(now) < 0.5
+        )
+        if not slots:
+            return ask.target
+        order = (ask.priority, now + ask.left, self.counter + 1)
+        ahead = bisect.bisect(self.queue, Waiting(order, ask, None, 0.0))
+        mean = self._find_latency(ask.route, ask.target).mean
+        return (ahead + 1) * mean / slots
+
+    def _find_latency(self, route, target):
+        latency = self.latencies.get(route)
+        if latency is None:
+            guess = GUESSED_LATENCY * target
+            latency = self.latencies[route] = backends.Latency(guess)
+        return latency
+
+    def choose_worker(self, ask, now):
+        """Return the worker of least cost with a free slot, or None."""
+        best, best_cost = None, 0.0
+        scouting = self._may_scout(ask, now)
+        size = self._find_latency(ask.route, ask.target).size
+        for worker in self.workers.values():
+            if not self._is_eligible(worker, ask, now):
+                continue
+            cost = self._weigh(worker, ask, size, scouting, now)
+            if best is None or cost < best_cost:
+                best, best_cost = worker, cost
+        return best
+
+    def _is_eligible(self, worker, ask, now):
+        entry = worker.entry
+        if entry.draining or entry.worker_id in ask.avoid:
+            return False
+        if worker.is_path_bad(ask.node, now) or now < worker.full_until:
+            return False
+        worker.drop_expired(now)
+        return len(worker.flights) < entry.slots
+
+    def _may_scout(self, ask, now):
+        if not ask.idempotent or ask.repeats:
+            return False
+        if ask.left < ask.target / 2:
+            return False
+        return self.budget.measure(now) < SCOUT_BUDGET
+
+    def _weigh(self, worker, ask, size, scouting, now):
+        load = (len(worker.flights) + 1) / worker.entry.slots
+        cost = load + FULL_COST * load**4
+        if worker.entry.zone != ask.zone:
+            cost += ZONE_COST + size / ZONE_COST_BYTES
+        if now < worker.warm_at:
+            cost += COLD_COST
+        known = worker.read_risk(now)
+        hang = worker.estimate_hang(self.latencies, now)
+        if scouting and not worker.flights and 0.0 < known < SCOUT_RISK:
+            return cost - SCOUT_BONUS
+        weight = UNSAFE_RISK_WEIGHT
+        if ask.idempotent:
+            weight = SAFE_RISK_WEIGHT
+        return cost + weight * max(known, hang)
+
+    def _grant(self, ask, worker, now):
+        if ask.repeats:
+            self.budget.add_repeat(now)
+        else:
+            self.budget.add_first(now)
+        self._add_flight(ask, worker, now)
+        return self._make_grant(ask, worker)
+
+    def _add_flight(self, ask, worker, now):
+        flight = Flight(
+            ask.ask_id,
+            ask.node,
+            ask.route,
+            now,
+            now + ask.left,
+            ask.repeats,
+            worker,
+        )
+        worker.used = True
+        worker.flights[ask.ask_id] = flight
+        self.flights[ask.ask_id] = flight
+
+    def _make_grant(self, ask, worker):
+        latency = self._find_latency(ask.route, ask.target)
+        hedge = max(LEAST_HEDGE, latency.high)
+        return messages.Grant(
+            ask.ask_id,
+            worker.entry.worker_id,
+            worker.entry.address,
+            round(hedge, 3),
+        )
+
+    def take_granted(self, message, now):
+        """Learn what another coordinator granted."""
+        if message.ask_id in self.flights:
+            return
+        worker = self.workers.get(message.worker_id)
+        if message.repeats:
+            self.budget.add_repeat(now)
+        else:
+            self.budget.add_first(now)
+        if worker is not None:
+            self._add_flight(message, worker, now)
+
+    def take_report(self, report, now):
+        """Learn how an attempt ended."""
+        flight = self.flights.pop(report.ask_id, None)
+        if flight is not None:
+            flight.worker.flights.pop(report.ask_id, None)
+        worker = self.workers.get(report.worker_id)
+        if worker is None:
+            return
+        alone = not worker.flights
+        self._judge(worker, report, alone, now)
+
+    def _judge(self, worker, report, alone, now):
+        ending = Ending(report.ending)
+        started = now - report.latency
+        if ending is Ending.ANSWERED:
+            latency = self._find_latency(report.route, report.latency * 4.0)
+            latency.add(report.latency, report.size)
+            worker.note_good(started, now)
+            self.quarantine.add_good(report.fingerprint)
+        elif ending in outcomes.REFUSALS:
+            worker.full_until = now + backends.FULL_REST
+        elif ending is Ending.UNREACHED:
+            worker.note_bad_path(report.node, now)
+        elif ending is Ending.MISDIRECTED:
+            worker.full_until = now + backends.PATH_REST
+        elif ending in (Ending.FAILED, Ending.GARBLED, Ending.TIMEOUT):
+            worker.note_failure(now)
+        elif ending is Ending.CANCELLED:
+            self._judge_cancelled(worker, report, now)
+        elif ending is Ending.RESET:
+            worker.note_failure(now)
+            self.quarantine.add_crash(report.fingerprint, alone, now)
+
+    def _judge_cancelled(self, worker, report, now):
+        latency = self.latencies.get(report.route)
+        if latency is None or not latency.count:
+            return
+        if report.latency > GIVEN_UP_MEANS * latency.mean:
+            worker.note_failure(now, GIVEN_UP_WEIGHT)
+
+    def withdraw(self, ask_id):
+        """Forget an ask that is of no use any longer."""
+        self.queue = [w for w in self.queue if w.ask.ask_id != ask_id]
+        flight = self.flights.pop(ask_id, None)
+        if flight is not None:
+            flight.worker.flights.pop(ask_id, None)
+
+    def dispatch(self, now):
+        """Return (sender, ask, answer) for the asks whose turn came."""
+        answers, left = [], []
+        for waiting in self.queue:
+            worker = self.choose_worker(waiting.ask, now)
+            if worker is not None:
+                answer = self._grant(waiting.ask, worker, now)
+            elif now >= waiting.expires:
+                wait = self.estimate_wait(waiting.ask, now)
+                answer = self._refuse(
+                    waiting.ask, Reason.EXPIRED, self._spread(wait)
+                )
+            else:
+                left.append(waiting)
+                continue
+            answers.append((waiting.sender, waiting.ask, answer))
+        self.queue = left
+        return answers
+
+    def sweep(self, now):
+        """Forget flights whose end was never reported."""
+        slack = backends.FLIGHT_SLACK
+        for ask_id, flight in list(self.flights.items()):
+            if now > flight.expires + slack:
+                del self.flights[ask_id]
+                flight.worker.flights.pop(ask_id, None)
--- /dev/null
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -0,0 +1,243 @@
+"""Members of the gateway, and which of them coordinate.
+
+Each availability zone has one coordinator: the best candidate by weight
+and name that answers and hears the platform's store. Every node works
+this out by itself; two views that differ cost only shared evidence.
+"""
+
+import xxhash
+
+from acaciafield import placement
+from acaciafield import structs
+
+BEAT_PERIOD = 0.5  # seconds between heartbeats
+SILENT_AFTER = 1.3  # seconds without an answer, two lost beats and a delay
+GONE_AFTER = 1.7  # seconds without a beat, three lost beats and a delay
+PROBE_PERIOD = 1.0  # seconds between beats to a silent better candidate
+MOST_PROBES = 2  # silent candidates that a node goes on probing in a zone
+ASK_REST = 1.0  # seconds without asks to a coordinator that missed one
+STALE_AFTER = 2.5  # seconds without the store that make a candidate worse
+
+
+class Member(structs.Struct):
+    """A node; ``weight`` ranks it as a coordinator, more is better."""
+
+    __slots__ = ("name", "born", "ip", "zone", "weight", "ready")
+
+    def as_row(self):
+        """Return the fields as a list."""
+        return [getattr(self, name) for name in self.__slots__]
+
+
+class Contact:
+    """What a node knows of a candidate; times in seconds."""
+
+    __slots__ = (
+        "member",
+        "heard_at",
+        "beaten_at",
+        "first_beat",
+        "ask_rest",
+        "store_age",
+        "told_at",
+    )
+
+    def __init__(self, member):
+        self.member = member
+        self.heard_at = None
+        self.beaten_at = None
+        self.first_beat = None
+        self.ask_rest = 0.0
+        self.store_age = 0.0
+        self.told_at = 0.0
+
+    def is_silent(self, now):
+        """Tell whether beats went unanswered."""
+        if self.first_beat is None:
+            return False
+        since = max(self.first_beat, self.heard_at or 0.0)
+        return now - since > SILENT_AFTER
+
+    def is_stale(self):
+        """Tell whether it has not heard the store for a while."""
+        return self.store_age > STALE_AFTER
+
+
+class Registry:
+    """The members that a coordinator hears of."""
+
+    __slots__ = ("table", "_digest")
+
+    def __init__(self):
+        self.table = {}
+        self._digest = None
+
+    def take_beat(self, beat, now):
+        """Take a heartbeat in; return whether the list changed."""
+        known = self.table.get(beat.name)
+        if known is not None and known[0].born > beat.born:
+            return False
+        ready = bool(beat.ready and not beat.leaving)
+        member = Member(
+            beat.name, beat.born, beat.ip, beat.zone, beat.weight, ready
+        )
+        self.table[beat.name] = (member, now)
+        if known is not None and known[0] == member:
+            return False
+        self._digest = None
+        return True
+
+    def drop_silent(self, now):
+        """Drop members without beats; return their names."""
+        gone = [
+            name
+            for name, (_, seen) in self.table.items()
+            if now - seen > GONE_AFTER
+        ]
+        for name in gone:
+            del self.table[name]
+            self._digest = None
+        return gone
+
+    def list_rows(self):
+        """Return the members as rows, by name."""
+        return [self.table[name][0].as_row() for name in sorted(self.table)]
+
+    @property
+    def digest(self):
+        """A digest of the members."""
+        if self._digest is None:
+            text = repr(self.list_rows())
+            self._digest = xxhash.xxh3_64_hexdigest(text.encode())[:8]
+        return self._digest
+
+
+class View:
+    """A node's view: candidates by availability zone, and members."""
+
+    __slots__ = ("own", "contacts", "members", "digest", "_order")
+
+    def __init__(self, own):
+        self.own = own
+        self.contacts = {own.name: Contact(own)}
+        self.members = {own.name: own}
+        self.digest = ""
+        self._order = None
+
+    def add_candidate(self, member):
+        """Learn of a node that may coordinate."""
+        known = self.contacts.get(member.name)
+        if known is None:
+            self.contacts[member.name] = Contact(member)
+            self._order = None
+        elif member.born > known.member.born:
+            known.member = member
+
+    def take_members(self, rows, digest):
+        """Replace the members by a coordinator's list."""
+        self.members = {}
+        for row in rows:
+            member = Member(*row)
+            self.members[member.name] = member
+            self.add_candidate(member)
+        self.digest = digest
+
+    def list_zones(self):
+        """Return the availability zones with a candidate, own first."""
+        zones = {c.member.zone for c in self.contacts.values()}
+        zones.discard(self.own.zone)
+        return [self.own.zone, *sorted(zones)]
+
+    def list_candidates(self, zone):
+        """Return the contacts of a zone, best first."""
+        if self._order is None:
+            self._order = {}
+            for contact in self.contacts.values():
+                member = contact.member
+                self._order.setdefault(member.zone, []).append(contact)
+            for contacts in self._order.values():
+                contacts.sort(key=_rank_contact)
+        return self._order.get(zone, [])
+
+    def find_coordinator(self, zone, now):
+        """Return the contact that coordinates a zone, or None."""
+        stale = None
+        for contact in self.list_candidates(zone):
+            if contact.member.name == self.own.name:
+                return contact
+            if contact.is_silent(now):
+                continue
+            if not contact.is_stale():
+                return contact
+            stale = stale or contact
+        return stale
+
+    def list_targets(self, now):
+        """Return the contacts to send a heartbeat to now."""
+        found = []
+        for zone in self.list_zones():
+            found.extend(self._list_zone_targets(zone, now))
+        return found
+
+    def _list_zone_targets(self, zone, now):
+        chosen = self.find_coordinator(zone, now)
+        found, probed = [], 0
+        for contact in self.list_candidates(zone):
+            if contact is chosen:
+                found.append(contact)
+                break
+            if contact.member.name == self.own.name:
+                continue
+            if probed >= MOST_PROBES:
+                continue
+            probed += 1
+            if now - (contact.beaten_at or 0.0) >= PROBE_PERIOD:
+                found.append(contact)
+        return found
+
+    def rank_coordinators(self, service, now):
+        """Return the names to ask for a service, first choice first.
+
+        The node itself comes last: without any coordinator it decides
+        alone.
+        """
+        chosen, resting = {}, {}
+        for zone in self.list_zones():
+            contact = self.find_coordinator(zone, now)
+            if contact is None:
+                continue
+            rests = contact.ask_rest > now or contact.is_silent(now)
+            table = resting if rests else chosen
+            table[contact.member.name] = contact
+        fresh = [n for n, c in chosen.items() if not c.is_stale()]
+        late = [n for n, c in chosen.items() if c.is_stale()]
+        ranked = placement.rank_nodes(service, fresh, len(fresh))
+        ranked += placement.rank_nodes(service, late, len(late))
+        ranked += placement.rank_nodes(service, list(resting), 1)
+        if self.own.name not in ranked:
+            ranked.append(self.own.name)
+        return ranked
+
+    def note_missed_ask(self, name, now):
+        """Send no asks for a while to a coordinator that missed one."""
+        contact = self.contacts.get(name)
+        if contact is not None:
+            contact.ask_rest = now + ASK_REST
+
+    def list_ready_ips(self, zone, least):
+        """Return addresses for callers of a zone.
+
+        With fewer than ``least`` ready members there, all are given.
+        """
+        ready = [m for m in self.members.values() if m.ready]
+        near = [m.ip for m in ready if m.zone == zone]
+        if len(near) >= least:
+            return near
+        return [m.ip for m in ready]
+
+
+def _rank_contact(contact):
+    member = contact.member
+    text = "%s|%s" % (member.zone, member.name)
+    weight = xxhash.xxh3_64_intdigest(text.encode())
+    return (-member.weight, weight, member.name)
--- a/packages/coordination/acaciafield/outcomes.py
+++ b/packages/coordination/acaciafield/outcomes.py
@@ -32,6 +32,10 @@
     TIMEOUT = "timeout"
     STALLED = "stalled"
     CANCELLED = "cancelled"
+    UNREACHED = "unreached"
+    MISDIRECTED = "misdirected"
+    FAILED = "failed"
+    GARBLED = "garbled"
 
 
 REFUSALS = (
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/gateway/asking.py
@@ -0,0 +1,118 @@
+"""Asking a coordinator for a worker, and another when it is silent."""
+
+import asyncio
+
+from acaciafield.gateway import messages
+
+FIRST_TIMEOUT = 0.06  # seconds; a hop and back with a busy coordinator
+NEXT_TIMEOUT = 0.12  # seconds, where the next best is asked
+QUEUED_REFRESH = 0.4  # seconds after which a queued ask is sent again
+LAST_PAUSE = 0.15  # seconds between asks once nobody is left
+
+
+class Pending:
+    """An ask of this node that waits for its answer."""
+
+    __slots__ = ("answer", "queued", "changed")
+
+    def __init__(self):
+        self.answer = None
+        self.queued = False
+        self.changed = asyncio.Event()
+
+    def take(self, message):
+        """Take in a Grant, Queued or Refusal."""
+        if isinstance(message, messages.Queued):
+            self.queued = True
+        elif self.answer is None:
+            self.answer = message
+        self.changed.set()
+
+    async def wait(self, timeout):
+        """Wait for news up to ``timeout`` seconds."""
+        self.changed.clear()
+        if self.answer is not None:
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                await self.changed.wait()
+        except TimeoutError:
+            return
+
+
+class Asker:
+    """Sends the asks of a node's requests."""
+
+    __slots__ = ("state", "send", "clock", "log", "pending")
+
+    def __init__(self, state, send, clock, log):
+        self.state = state
+        self.send = send
+        self.clock = clock
+        self.log = log
+        self.pending = {}
+
+    def deliver(self, message):
+        """Hand an answer to the ask it belongs to."""
+        pending = self.pending.get(message.ask_id)
+        if pending is not None:
+            pending.take(message)
+
+    async def ask(self, ask, give_up_at):
+        """Return a Grant or Refusal, or None if nobody answered in time.
+
+        ``give_up_at`` is a time of this process's clock.
+        """
+        pending = self.pending[ask.ask_id] = Pending()
+        left_at = self.clock() + ask.left
+        try:
+            ranked = self.state.view.rank_coordinators(
+                ask.service, self.clock()
+            )
+            timeout = FIRST_TIMEOUT
+            while self.clock() < give_up_at:
+                name = ranked.pop(0) if len(ranked) > 1 else ranked[0]
+                ask.left = round(left_at - self.clock(), 3)
+                answer = await self._ask_one(name, ask, pending, timeout)
+                if answer is not None:
+                    return answer
+                timeout = NEXT_TIMEOUT
+                if len(ranked) == 1:
+                    await pending.wait(LAST_PAUSE)
+            return pending.answer
+        finally:
+            del self.pending[ask.ask_id]
+            if pending.answer is None:
+                self.withdraw(ask)
+
+    async def _ask_one(self, name, ask, pending, timeout):
+        pending.queued = False
+        self.send(name, ask)
+        if pending.answer is None and not pending.queued:
+            await pending.wait(timeout)
+        while pending.answer is None and pending.queued:
+            await pending.wait(QUEUED_REFRESH)
+            if pending.answer is None:
+                pending.queued = False
+                self.send(name, ask)
+                if not pending.queued:
+                    await pending.wait(timeout)
+        if pending.answer is None:
+            now = self.clock()
+            self.state.view.note_missed_ask(name, now)
+            self.log.write("coordinator-silent", peer=name, ask=ask.ask_id)
+        return pending.answer
+
+    def withdraw(self, ask):
+        """Tell all coordinators that an ask is of no use any longer."""
+        message = messages.Withdrawal(ask.service, ask.ask_id)
+        self.tell_coordinators(message)
+
+    def tell_coordinators(self, message):
+        """Send a message to the coordinator of every zone."""
+        now = self.clock()
+        view = self.state.view
+        for zone in view.list_zones():
+            contact = view.find_coordinator(zone, now)
+            if contact is not None:
+                self.send(contact.member.name, message)
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -0,0 +1,435 @@
+"""The entry: takes callers' requests and answers each exactly once."""
+
+import asyncio
+
+from aiohttp import web
+import multidict
+import xxhash
+
+from acaciafield import outcomes
+from acaciafield import structs
+from acaciafield.gateway import attempts
+from acaciafield.gateway import messages
+from acaciafield_daemon.gateway import upstream
+
+Ending = outcomes.Ending
+Step = attempts.Step
+
+DEFAULT_LEFT = 30.0  # seconds for a caller that names no deadline
+LATE_SLACK = 0.1  # seconds past the time-out in which the worker's own
+# answer to its deadline may still come
+HOLD_SHARE = 0.5  # share of the target that asking for a worker may take
+LEAST_HOLD = 0.3  # seconds that asking may take at least
+UNREADY_RETRY = 1.0  # seconds after which an unready node may be asked again
+OVERLOAD_RETRY = 0.3  # seconds, where no coordinator named a time
+
+
+class Refused(structs.Struct):
+    """No worker was given; ``retry_after`` is in seconds."""
+
+    __slots__ = ("reason", "retry_after")
+
+
+class Call:
+    """One request of a caller while it is served.
+
+    ``limit`` is the time of this process's clock at which the caller
+    or the route gives up.
+    """
+
+    __slots__ = (
+        "message",
+        "route",
+        "service",
+        "started",
+        "limit",
+        "fingerprint",
+        "progress",
+        "avoid",
+        "asked",
+        "hedge_after",
+        "sent_at",
+    )
+
+    def __init__(self, message, route, started, limit, fingerprint):
+        self.message = message
+        self.route = route
+        self.service = route.choose_service(message.request_id)
+        self.started = started
+        self.limit = limit
+        self.fingerprint = fingerprint
+        self.progress = attempts.Progress(
+            route.idempotent, route.most_attempts
+        )
+        self.avoid = []
+        self.asked = 0
+        self.hedge_after = None
+        self.sent_at = None
+
+
+class Entry:
+    """Serves callers on one node."""
+
+    __slots__ = (
+        "options",
+        "clock",
+        "log",
+        "meters",
+        "upstream",
+        "asker",
+        "configuration",
+        "leaving",
+        "active",
+    )
+
+    def __init__(self, options, clock, log, meters, upstream_, asker):
+        self.options = options
+        self.clock = clock
+        self.log = log
+        self.meters = meters
+        self.upstream = upstream_
+        self.asker = asker
+        self.configuration = None
+        self.leaving = False
+        self.active = 0
+
+    async def answer(self, request):
+        """Answer a caller's request."""
+        started = self.clock()
+        self.active += 1
+        try:
+            response = await self._answer(request, started)
+        finally:
+            self.active -= 1
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def _answer(self, request, started):
+        names = self.options.headers
+        request_id = request.headers.get(names.request_id, "")
+        configuration = self.configuration
+        if configuration is None:
+            return self._refuse(request_id, "unready", UNREADY_RETRY)
+        target = request.message.path
+        path = target.split("?", 1)[0]
+        route = configuration.find_route(request.headers.get("Host", ""), path)
+        if route is None:
+            self.log.write(
+                "unrouted",
+                request=request_id,
+                version=configuration.version,
+            )
+            return make_problem(404, request_id, names)
+        body = await read_body(request, configuration.limits.body_size)
+        if body is None:
+            return make_problem(413, request_id, names)
+        message = upstream.Message(
+            request.method,
+            target,
+            filter_headers(request.headers),
+            body,
+            request_id,
+        )
+        left = read_deadline(request.headers.get(names.deadline_ms))
+        limit = started + min(left, route.timeout)
+        call = Call(message, route, started, limit, fingerprint(request, body))
+        return await self._serve(call, request)
+
+    async def _serve(self, call, request):
+        running = {}
+        last = None
+        try:
+            self._start(call, running)
+            while running:
+                done = await self._wait(call, running)
+                if not done:
+                    if self.clock() >= call.limit:
+                        return self._give_up(call, last)
+                    call.hedge_after = None
+                    self._start(call, running)
+                    continue
+                for task in done:
+                    del running[task]
+                    result = task.result()
+                    response = await self._take(call, result, request, running)
+                    if response is not None:
+                        return response
+                    last = choose_last(last, result)
+            return self._answer_failure(call, last)
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _wait(self, call, running):
+        now = self.clock()
+        until = call.limit + LATE_SLACK
+        if self._may_hedge(call, running):
+            until = min(until, call.sent_at + call.hedge_after)
+        done, _ = await asyncio.wait(
+            running,
+            timeout=max(0.0, until - now),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return done
+
+    def _may_hedge(self, call, running):
+        if call.hedge_after is None or not call.route.idempotent:
+            return False
+        left = call.limit - self.clock()
+        return call.progress.may_send(left, len(running))
+
+    def _start(self, call, running):
+        call.asked += 1
+        task = asyncio.ensure_future(self._attempt(call, call.asked))
+        running[task] = call.asked
+
+    async def _take(self, call, result, request, running):
+        if isinstance(result, Refused):
+            return None
+        call.progress.count(result.ending)
+        left = call.limit - self.clock()
+        step = call.progress.decide(result.ending, left, len(running))
+        if step is Step.PASS:
+            return await self._pass_on(call, result, request)
+        if step is Step.RETRY:
+            self._start(call, running)
+        return None
+
+    async def _attempt(self, call, number):
+        ask = self._make_ask(call, number)
+        hold = max(LEAST_HOLD, HOLD_SHARE * call.route.target)
+        give_up_at = min(call.limit, self.clock() + hold)
+        answer = await self.asker.ask(ask, give_up_at)
+        if not isinstance(answer, messages.Grant):
+            reason = answer.reason if answer else "no-coordinator"
+            after = answer.retry_after if answer else OVERLOAD_RETRY
+            self.log.write(
+                "refused",
+                request=call.message.request_id,
+                service=call.service,
+                attempt=number,
+                reason=reason,
+                retry_after=after,
+            )
+            return Refused(reason, after)
+        return await self._send(call, ask, answer)
+
+    def _make_ask(self, call, number):
+        route = call.route
+        return messages.Ask(
+            "%s:%d" % (call.message.request_id, number),
+            self.options.name,
+            self.options.zone,
+            call.service,
+            route.name,
+            route.idempotent,
+            route.priority,
+            route.target,
+            call.limit - self.clock(),
+            number - 1,
+            list(call.avoid),
+            call.fingerprint,
+        )
+
+    async def _send(self, call, ask, grant):
+        call.avoid.append(grant.worker_id)
+        call.sent_at = self.clock()
+        call.hedge_after = grant.hedge_after
+        result = upstream.Result(Ending.CANCELLED)
+        started = self.clock()
+        try:
+            left = call.limit - started
+            result = await self.upstream.send(
+                call.message, grant.worker_id, grant.address, left
+            )
+        finally:
+            if result.ending is Ending.CANCELLED:
+                result.latency = self.clock() - started
+            self._report(call, ask, grant, result)
+        return result
+
+    def _report(self, call, ask, grant, result):
+        self.meters.count(
+            "attempts", service=call.service, ending=result.ending.value
+        )
+        report = messages.Report(
+            call.service,
+            ask.ask_id,
+            self.options.name,
+            grant.worker_id,
+            call.route.name,
+            result.ending.value,
+            round(result.latency, 3),
+            len(result.body) if result.body else 0,
+            result.load,
+            call.fingerprint,
+        )
+        self.asker.tell_coordinators(report)
+        self.log.write(
+            "attempt",
+            request=call.message.request_id,
+            ask=ask.ask_id,
+            worker=grant.worker_id,
+            ending=result.ending.value,
+            status=result.status,
+            latency=round(result.latency, 3),
+            load=result.load,
+        )
+
+    async def _pass_on(self, call, result, request):
+        self._note_end(call, "passed", result.status)
+        headers = filter_headers(result.headers)
+        if result.rest is None:
+            return web.Response(
+                status=result.status, headers=headers, body=result.body
+            )
+        return await self._stream(result, headers, request)
+
+    async def _stream(self, result, headers, request):
+        """Pass on an answer that is too large to hold back."""
+        length = result.headers.get("Content-Length")
+        response = web.StreamResponse(status=result.status, headers=headers)
+        if length is not None:
+            response.content_length = int(length)
+        try:
+            await response.prepare(request)
+            await response.write(result.body)
+            async for part in result.rest.content.iter_any():
+                await response.write(part)
+            await response.write_eof()
+        except BaseException:
+            if request.transport is not None:
+                request.transport.abort()
+            raise
+        finally:
+            result.rest.close()
+        return response
+
+    def _give_up(self, call, last):
+        if call.sent_at is None:
+            return self._answer_failure(call, last)
+        self._note_end(call, "timeout", 504)
+        return make_problem(504, call.message.request_id, self.options.headers)
+
+    def _answer_failure(self, call, last):
+        names = self.options.headers
+        request_id = call.message.request_id
+        if isinstance(last, upstream.Result) and (
+            last.ending is Ending.FAILED
+        ):
+            self._note_end(call, "failed", last.status)
+            return web.Response(
+                status=last.status,
+                headers=filter_headers(last.headers),
+                body=last.body,
+            )
+        if isinstance(last, upstream.Result) and (
+            last.ending not in attempts.NOT_RUN_ENDINGS
+        ):
+            self._note_end(call, "unknown", 502)
+            return make_problem(502, request_id, names)
+        after = OVERLOAD_RETRY
+        if isinstance(last, Refused):
+            after = last.retry_after
+        self._note_end(call, "refused", 503)
+        return make_problem(503, request_id, names, after)
+
+    def _refuse(self, request_id, reason, retry_after):
+        self.meters.count("refused", reason=reason)
+        self.log.write("refused", request=request_id, reason=reason)
+        return make_problem(503, request_id, self.options.headers, retry_after)
+
+    def _note_end(self, call, outcome, status):
+        latency = self.clock() - call.started
+        self.meters.count("requests", route=call.route.name, outcome=outcome)
+        self.meters.record(call.route.name, latency)
+        kind = "served" if outcome == "passed" else "failed"
+        self.log.write(
+            kind,
+            request=call.message.request_id,
+            outcome=outcome,
+            status=status,
+            route=call.route.name,
+            service=call.service,
+            version=self.configuration.version,
+            attempts=call.asked,
+            workers=list(call.avoid),
+            latency=round(latency, 3),
+            late=latency > call.route.target,
+        )
+
+
+def choose_last(last, result):
+    """Return which of two failures tells the caller more truth."""
+    if isinstance(last, upstream.Result) and isinstance(result, Refused):
+        return last
+    if isinstance(last, upstream.Result):
+        if last.ending not in attempts.NOT_RUN_ENDINGS:
+            if result.ending is not Ending.FAILED:
+                return last
+    return result
+
+
+def make_problem(status, request_id, names, retry_after=None):
+    """Return an answer of the gateway's own."""
+    headers = {}
+    if request_id:
+        headers[names.request_id] = request_id
+    if retry_after is not None:
+        headers["Retry-After"] = "%.2f" % retry_after
+    return web.Response(status=status, headers=headers, text="")
+
+
+def filter_headers(headers):
+    """Return the fields that concern more than one connection."""
+    named = headers.get("Connection", "").lower()
+    dropped = {name.strip() for name in named.split(",")}
+    kept = multidict.CIMultiDict()
+    for name, value in headers.items():
+        low = name.lower()
+        if low not in upstream.HOP_BY_HOP and low not in dropped:
+            kept.add(name, value)
+    return kept
+
+
+async def read_body(request, most):
+    """Return the whole body of a request, or None if it is too large."""
+    if not request.body_exists:
+        return b""
+    parts, size = [], 0
+    async for part in request.content.iter_any():
+        size += len(part)
+        if size > most:
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
+def read_deadline(text):
+    """Return a deadline field's seconds.
+
+    >>> read_deadline("1500")
+    1.5
+    >>> read_deadline(None)
+    30.0
+    """
+    try:
+        return max(0.0, int(text) / 1000.0)
+    except (TypeError, ValueError):
+        return DEFAULT_LEFT
+
+
+def fingerprint(request, body):
+    """Return a digest that repeats of the same work share."""
+    digest = xxhash.xxh3_64()
+    for part in (
+        request.method,
+        request.headers.get("Host", ""),
+        request.message.path,
+        request.remote or "",
+    ):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(body)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/gateway/feeds.py
@@ -0,0 +1,205 @@
+"""Following the platform's store: workers, configuration, members."""
+
+import asyncio
+import enum
+
+from acaciafield import structs
+
+WORKERS_PERIOD = 0.4  # seconds between reads of changes to workers
+CONFIG_WAIT = 1.0  # seconds that a read of the configuration waits
+RETRY_PAUSE = 0.25  # seconds after a failed read
+AWAY_AFTER = 1.2  # seconds of failed reads that count as an outage
+SETTLE_TIME = 2.2  # seconds after an outage in which entries come back
+
+
+class Stream(enum.Enum):
+    """What the store keeps for the gateway."""
+
+    CONFIGURATION = "configuration"
+    WORKERS = "workers"
+    MEMBERS = "members"
+
+
+class Changes(structs.Struct):
+    """Records read: pairs of key and value, a value of None drops it.
+
+    ``end`` is the offset to go on from; ``lost`` tells that records
+    were dropped unread and the newest of each key must be read.
+    """
+
+    __slots__ = ("records", "end", "lost")
+    DEFAULTS = {"lost": False}
+
+
+class StoreError(Exception):
+    """The store gave no good answer; the text says which."""
+
+
+class Follower:
+    """Follows one stream of the store record by record."""
+
+    __slots__ = ("store", "stream", "offset")
+
+    def __init__(self, store, stream):
+        self.store = store
+        self.stream = stream
+        self.offset = None
+
+    async def read(self, wait):
+        """Return (changes, whole); whole ones replace all that is known.
+
+        Raises StoreError.
+        """
+        if self.offset is None:
+            changes = await self.store.read_newest(self.stream)
+            self.offset = changes.end
+            return changes, True
+        changes = await self.store.read_changes(self.stream, self.offset, wait)
+        if changes.lost:
+            self.offset = None
+            return await self.read(wait)
+        self.offset = changes.end
+        return changes, False
+
+
+class WorkerTable:
+    """The workers as the store lists them.
+
+    After an outage a missing entry may come back within a moment, so
+    it stays for as long unless the worker was leaving already.
+    """
+
+    __slots__ = ("entries", "absent", "heard_at", "settled_at")
+
+    def __init__(self):
+        self.entries = {}
+        self.absent = {}
+        self.heard_at = None
+        self.settled_at = 0.0
+
+    def note_heard(self, now):
+        """Note an answer of the store at ``now`` seconds."""
+        if self.heard_at is not None and now - self.heard_at > AWAY_AFTER:
+            self.settled_at = now + SETTLE_TIME
+        self.heard_at = now
+
+    def apply(self, entries, whole, now):
+        """Take in (worker id, WorkerEntry or None); return if changed."""
+        changed = False
+        if whole:
+            listed = {worker_id for worker_id, _ in entries}
+            for worker_id in set(self.entries) - listed:
+                changed |= self._remove(worker_id, now)
+        for worker_id, entry in entries:
+            if entry is None:
+                changed |= self._remove(worker_id, now)
+            else:
+                changed |= self._put(worker_id, entry)
+        return changed
+
+    def expire(self, now):
+        """Drop absent entries that did not come back; return if any."""
+        gone = [w for w, until in self.absent.items() if now >= until]
+        for worker_id in gone:
+            del self.absent[worker_id]
+            self.entries.pop(worker_id, None)
+        return bool(gone)
+
+    def _put(self, worker_id, entry):
+        self.absent.pop(worker_id, None)
+        known = self.entries.get(worker_id)
+        if known is not None and known.born > entry.born:
+            return False
+        self.entries[worker_id] = entry
+        return known != entry
+
+    def _remove(self, worker_id, now):
+        if worker_id not in self.entries:
+            return False
+        if now < self.settled_at:
+            self.absent.setdefault(worker_id, self.settled_at)
+            return False
+        self.absent.pop(worker_id, None)
+        del self.entries[worker_id]
+        return True
+
+
+class Feeds:
+    """The reading tasks of a node that coordinates."""
+
+    __slots__ = ("store", "clock", "log", "hooks", "_tasks", "_failing")
+
+    def __init__(self, store, clock, log, hooks):
+        self.store = store
+        self.clock = clock
+        self.log = log
+        self.hooks = hooks
+        self._tasks = []
+        self._failing = {}
+
+    def set_active(self, active):
+        """Begin or end reading."""
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+        if active:
+            self._tasks = [
+                asyncio.ensure_future(self._follow_workers()),
+                asyncio.ensure_future(self._follow_configuration()),
+            ]
+
+    async def _follow_workers(self):
+        follower = Follower(self.store, Stream.WORKERS)
+        table = WorkerTable()
+        first = True
+        while True:
+            read = await self._read(follower, 0.0)
+            now = self.clock()
+            if read is None:
+                await asyncio.sleep(RETRY_PAUSE)
+                continue
+            table.note_heard(now)
+            changes, whole = read
+            rows = [
+                (key, self.store.decode_worker(key, value))
+                for key, value in changes.records
+            ]
+            if whole:
+                rows = [row for row in rows if row[1] is not None]
+            changed = table.apply(rows, whole, now)
+            changed |= table.expire(now)
+            self.hooks.hear_store()
+            if changed or first:
+                first = False
+                self.hooks.take_workers(list(table.entries.values()))
+            await asyncio.sleep(WORKERS_PERIOD)
+
+    async def _follow_configuration(self):
+        follower = Follower(self.store, Stream.CONFIGURATION)
+        while True:
+            read = await self._read(follower, CONFIG_WAIT)
+            if read is None:
+                await asyncio.sleep(RETRY_PAUSE)
+                continue
+            for _, value in read[0].records:
+                if value is not None:
+                    self.hooks.take_configuration(value)
+
+    async def _read(self, follower, wait):
+        name = follower.stream.value
+        try:
+            read = await follower.read(wait)
+        except StoreError as error:
+            if name not in self._failing:
+                self._failing[name] = self.clock()
+                self.log.write(
+                    "dependency", part="store", stream=name, lost=str(error)
+                )
+            return None
+        since = self._failing.pop(name, None)
+        if since is not None:
+            away = round(self.clock() - since, 3)
+            self.log.write(
+                "dependency", part="store", stream=name, regained_after=away
+            )
+        return read
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -0,0 +1,382 @@
+"""The run of a gateway's node: build the parts, serve, stop."""
+
+import asyncio
+import contextlib
+import signal
+import time
+
+import aiohttp
+from aiohttp import web
+
+import orjson
+
+from acaciafield.gateway import coordination
+from acaciafield.gateway import members
+from acaciafield_daemon.gateway import asking
+from acaciafield_daemon.gateway import decisions
+from acaciafield_daemon.gateway import entry as entries
+from acaciafield_daemon.gateway import feeds
+from acaciafield_daemon.gateway import meters
+from acaciafield_daemon.gateway import peers
+from acaciafield_daemon.gateway import upstream
+
+VALIDITY = 2  # seconds for which callers keep addresses
+LEAST_ADDRESSES = 3  # below that, addresses of all zones are given
+MOST_ADDRESSES = 64  # in one answer to callers
+KEEPALIVE = 90.0  # seconds; longer than callers reuse connections
+MOST_HEAD = 65536  # bytes of one line or field of a caller's request
+START_PAUSE = 0.3  # seconds between tries to learn the fleet at the start
+LATE_MEMBERS = 2.0  # seconds after which members are read once more
+CLOSE_IDLE_AT = 0.4  # share of the grace after which listeners close
+EXIT_SLACK = 0.4  # seconds before the end of the grace to exit
+STOP_POLL = 0.05  # seconds
+
+
+class Gateway:
+    """One node with its sockets and timers, on one loop."""
+
+    def __init__(self, options, store):
+        loop = asyncio.get_running_loop()
+        self.options = options
+        self.store = store
+        self.clock = loop.time
+        self.loop = loop
+        self.raw_configuration = None
+        self.log = decisions.DecisionLog(options.name, self.clock)
+        self.meters = meters.Meters()
+        own = members.Member(
+            options.name,
+            int(time.time() * 1000),
+            options.ip,
+            options.zone,
+            options.weight,
+            False,
+        )
+        self.state = coordination.NodeState(own, options.terms, own.born)
+        documents = {
+            "configuration": lambda: self.raw_configuration,
+            "members": self._dump_members,
+            "metrics": self._dump_metrics,
+        }
+        self.peers = peers.Peers(
+            options.ip, options.peer_port, self._receive, documents
+        )
+        self.asker = asking.Asker(
+            self.state, self._send_to, self.clock, self.log
+        )
+        self.upstream = upstream.Upstream(options.headers, self.clock)
+        self.entry = entries.Entry(
+            options,
+            self.clock,
+            self.log,
+            self.meters,
+            self.upstream,
+            self.asker,
+        )
+        self.feeds = feeds.Feeds(store, self.clock, self.log, self)
+        self.stopping = asyncio.Event()
+        self._listeners = []
+        self._fetching = 0
+        self._timer = None
+
+    async def run(self):
+        """Serve until told to stop, then finish what is in hand."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        self.log.open()
+        self.log.write("start", ip=self.options.ip, zone=self.options.zone)
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(self.store.open())
+            await stack.enter_async_context(self.upstream.open())
+            await stack.enter_async_context(self.peers.open())
+            await self._listen()
+            self._flush_log()
+            learning = asyncio.ensure_future(self._learn_fleet())
+            await self.stopping.wait()
+            learning.cancel()
+            await self._stop()
+        self.log.write("stop", active=self.entry.active)
+        self.log.flush()
+
+    async def _listen(self):
+        options = self.options
+        limits = {
+            "keepalive_timeout": KEEPALIVE,
+            "max_line_size": MOST_HEAD,
+            "max_field_size": MOST_HEAD,
+            "access_log": None,
+            "auto_decompress": False,
+        }
+        front = web.Server(
+            self.entry.answer, handler_cancellation=True, **limits
+        )
+        self._front = front
+        await self._open_listener(front, options.front_port)
+        await self._open_listener(
+            web.Server(self._answer_ready), options.ready_port
+        )
+        await self._open_listener(
+            web.Server(self._answer_resolve), options.directory_port
+        )
+        await self._open_listener(
+            web.Server(self._answer_metrics), options.metrics_port
+        )
+
+    async def _open_listener(self, server, port):
+        listener = await self.loop.create_server(
+            server, self.options.ip, port, reuse_address=True, backlog=512
+        )
+        self._listeners.append(listener)
+
+    # The fleet
+
+    async def _learn_fleet(self):
+        while True:
+            learned = await self._read_store()
+            if not learned:
+                learned = await self._read_seeds()
+            if learned:
+                break
+            await asyncio.sleep(START_PAUSE)
+        self._apply(self.state.start(self.clock()))
+        self.state.ready = True
+        await self._publish_self()
+        await asyncio.sleep(LATE_MEMBERS)
+        await self._read_members()
+
+    async def _publish_self(self):
+        while True:
+            try:
+                await self.store.write_member(self.state.own)
+                return
+            except feeds.StoreError as error:
+                self.log.write("dependency", part="store", lost=str(error))
+                await asyncio.sleep(LATE_MEMBERS)
+
+    async def _read_store(self):
+        stream = feeds.Stream.CONFIGURATION
+        try:
+            changes = await self.store.read_newest(stream)
+        except feeds.StoreError as error:
+            self.log.write("dependency", part="store", lost=str(error))
+            return False
+        for _, value in changes.records:
+            if value is not None:
+                self.take_configuration(value)
+        await self._read_members()
+        return self.entry.configuration is not None
+
+    async def _read_members(self):
+        try:
+            changes = await self.store.read_newest(feeds.Stream.MEMBERS)
+        except feeds.StoreError as error:
+            self.log.write("dependency", part="store", lost=str(error))
+            return
+        found = [
+            self.store.decode_member(key, value)
+            for key, value in changes.records
+        ]
+        self._take_members([m for m in found if m is not None])
+
+    async def _read_seeds(self):
+        for ip in self.options.seed_ips:
+            if ip == self.options.ip:
+                continue
+            try:
+                rows = await self.peers.fetch(ip, "members")
+                await self._fetch(ip, self.state.config_version + 1)
+                if rows is not None:
+                    self._take_members(
+                        [members.Member(*row) for row in orjson.loads(rows)]
+                    )
+            except (aiohttp.ClientError, OSError, ValueError) as error:
+                self.log.write("seed-silent", seed=ip, cause=repr(error))
+        return self.entry.configuration is not None
+
+    def _take_members(self, found):
+        event = coordination.MembersRead(self.clock(), found)
+        self._apply(coordination.reduce_event(self.state, event))
+
+    def _dump_members(self):
+        rows = [m.as_row() for m in self.state.view.members.values()]
+        return orjson.dumps(rows)
+
+    # Hooks of the feeds
+
+    def hear_store(self):
+        """Take note that the store answered."""
+        self._feed(coordination.StoreHeard)
+
+    def take_workers(self, found):
+        """Take in the list of workers."""
+        self.log.write(
+            "workers",
+            listed=len(found),
+            draining=[w.worker_id for w in found if w.draining],
+        )
+        self._feed(coordination.WorkersRead, found)
+
+    def take_configuration(self, raw):
+        """Take in a configuration as the store holds it."""
+        known = self.entry.configuration
+        configuration = self.store.decode_configuration(raw)
+        if configuration is None:
+            self.log.write("configuration-unreadable", size=len(raw))
+            return
+        if known is not None and configuration.version <= known.version:
+            return
+        self.entry.configuration = configuration
+        self.raw_configuration = raw
+        self.log.write(
+            "configuration",
+            version=configuration.version,
+            before=known.version if known else None,
+            routes=len(configuration.routes),
+        )
+        self._feed(coordination.ConfigurationHeld, configuration.version)
+
+    # Effects
+
+    def _feed(self, kind, *fields):
+        event = kind(self.clock(), *fields)
+        self._apply(coordination.reduce_event(self.state, event))
+
+    def _receive(self, sender, message):
+        self._feed(coordination.MessageReceived, sender, message)
+
+    def _send_to(self, name, message):
+        if name == self.options.name:
+            self._receive("", message)
+            return
+        contact = self.state.view.contacts.get(name)
+        if contact is not None:
+            self.peers.send(contact.member.ip, message)
+
+    def _apply(self, effects):
+        for effect in effects:
+            kind = type(effect)
+            if kind is coordination.Send:
+                self.peers.send(effect.ip, effect.message)
+            elif kind is coordination.Deliver:
+                self.asker.deliver(effect.message)
+            elif kind is coordination.Note:
+                self.log.write(effect.kind, **effect.fields)
+            elif kind is coordination.FollowStore:
+                self.feeds.set_active(effect.active)
+            elif kind is coordination.FetchConfiguration:
+                self._start_fetch(effect.ip, effect.version)
+        self._arm_timer()
+
+    def _arm_timer(self):
+        due = self.state.next_due()
+        if self._timer is not None:
+            if due == self._timer.when():
+                return
+            self._timer.cancel()
+        if due is not None:
+            self._timer = self.loop.call_at(due, self._tick)
+
+    def _tick(self):
+        self._timer = None
+        self._feed(coordination.Tick)
+
+    def _start_fetch(self, ip, version):
+        if self._fetching >= 3:
+            return
+        self._fetching += 1
+        task = asyncio.ensure_future(self._fetch(ip, version))
+        task.add_done_callback(self._end_fetch)
+
+    def _end_fetch(self, task):
+        self._fetching -= 1
+
+    async def _fetch(self, ip, version):
+        known = self.entry.configuration
+        if known is not None and known.version >= version:
+            return
+        try:
+            raw = await self.peers.fetch(ip, "configuration")
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self.log.write("fetch-failed", peer=ip, cause=repr(error))
+            return
+        if raw is not None:
+            self.take_configuration(raw)
+
+    # What the node tells about itself
+
+    async def _answer_ready(self, request):
+        good = self._is_ready()
+        return web.Response(status=200 if good else 503)
+
+    def _is_ready(self):
+        if self.stopping.is_set():
+            return False
+        return self.state.ready and self.entry.configuration is not None
+
+    async def _answer_resolve(self, request):
+        zone = request.query.get("zone", "")
+        if not self._is_ready():
+            return web.Response(status=503)
+        ips = self.state.view.list_ready_ips(zone, LEAST_ADDRESSES)
+        ips = ips or [self.options.ip]
+        if len(ips) > MOST_ADDRESSES:
+            ips = self.state.random.sample(ips, MOST_ADDRESSES)
+        port = self.options.front_port
+        body = {
+            "addresses": ["%s:%d" % (ip, port) for ip in ips],
+            "ttlS": min(VALIDITY, self.options.most_validity),
+        }
+        return web.Response(
+            body=orjson.dumps(body), content_type="application/json"
+        )
+
+    async def _answer_metrics(self, request):
+        return web.Response(body=self._dump_metrics())
+
+    def _dump_metrics(self):
+        now = self.clock()
+        version = 0
+        if self.entry.configuration is not None:
+            version = self.entry.configuration.version
+        gauges = {
+            "requests_in_hand": self.entry.active,
+            "configuration_version": version,
+            "members": len(self.state.view.members),
+            "coordinating": int(self.state.following),
+            "store_age_seconds": round(self.state.read_store_age(now), 3),
+            "unreadable_messages": self.peers.unreadable,
+            "log_lines_dropped": self.log.dropped,
+        }
+        return self.meters.format(gauges).encode()
+
+    def _flush_log(self):
+        self.log.flush()
+        self.loop.call_later(decisions.FLUSH_PERIOD, self._flush_log)
+
+    def _note_reload(self):
+        self.log.write("reload", found="nothing that a running node changes")
+
+    # Stop
+
+    async def _stop(self):
+        began = self.clock()
+        self.entry.leaving = True
+        self.log.write("stop", active=self.entry.active, began=True)
+        self._feed(coordination.StopAsked)
+        end = began + self.options.grace - EXIT_SLACK
+        close_at = began + CLOSE_IDLE_AT * self.options.grace
+        closed = False
+        while self.clock() < end:
+            if not closed and self.clock() >= close_at:
+                closed = True
+                for listener in self._listeners:
+                    listener.close()
+                for handler in self._front.connections:
+                    handler.keep_alive(False)
+                    if handler._current_request is None:
+                        handler.close()
+            if closed and not self.entry.active:
+                break
+            await asyncio.sleep(STOP_POLL)
+        await asyncio.sleep(STOP_POLL)
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/gateway/options.py
@@ -0,0 +1,49 @@
+"""What a gateway's process is told at its start."""
+
+from acaciafield import structs
+
+
+class HeaderNames(structs.Struct):
+    """Names of the header fields that callers and workers use."""
+
+    __slots__ = (
+        "request_id",
+        "deadline_ms",
+        "expect_worker",
+        "signature",
+        "not_run",
+        "worker_load",
+    )
+
+
+class Options(structs.Struct):
+    """Addresses, ports and bounds of one node.
+
+    Ports are the same on every node. Times are in seconds: ``grace``
+    from the order to stop to the kill, ``most_validity`` of an answer
+    to callers that ask for addresses.
+    """
+
+    __slots__ = (
+        "name",
+        "ip",
+        "zone",
+        "weight",
+        "front_port",
+        "ready_port",
+        "directory_port",
+        "peer_port",
+        "metrics_port",
+        "seed_ips",
+        "terms",
+        "grace",
+        "most_validity",
+        "headers",
+        "paths",
+    )
+
+
+class Paths(structs.Struct):
+    """Paths under which a node answers about itself."""
+
+    __slots__ = ("ready", "resolve")
