Let a new coordinator fetch the workers from another one, and stop by the server's shutdown

A stopping node closed connections while an answer was on its way (LOST). Ruled out: the time-outs of asks. A candidate no longer beaten counted as silent; fixed with a test.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -7,11 +7,11 @@
 import functools
 import random
 
-from acaciafield import structs
-from acaciafield import timers
 from acaciafield.gateway import granting
 from acaciafield.gateway import members
 from acaciafield.gateway import messages
+from acaciafield import structs
+from acaciafield import timers
 
 DUTY_TIME = 3.0  # seconds that a node coordinates after it was asked to
 SWEEP_PERIOD = 1.0  # seconds between sweeps of lost reports
@@ -31,6 +31,12 @@
     __slots__ = ("now", "entries")
 
 
+class WorkersFetched(structs.Struct):
+    """Another coordinator's list of workers, ``age`` seconds old."""
+
+    __slots__ = ("now", "entries", "age")
+
+
 class StoreHeard(structs.Struct):
     """The platform's store answered."""
 
@@ -79,6 +85,12 @@
     __slots__ = ("ip", "version")
 
 
+class FetchWorkers(structs.Struct):
+    """Fetch the list of workers from the node at ``ip``."""
+
+    __slots__ = ("ip",)
+
+
 class FollowStore(structs.Struct):
     """Begin or end to follow the store's list of workers."""
 
@@ -167,10 +179,10 @@
         return desk
 
     def read_store_age(self, now):
-        """Return the seconds since the store was heard."""
-        if self.store_at is None:
-            return 3600.0
-        return now - self.store_at
+        """Return how old the list of workers is, None without one."""
+        if self.store_at is None or self.entries is None:
+            return None
+        return round(now - self.store_at, 2)
 
     def next_due(self):
         """Return when a tick is needed next, in seconds, or None."""
@@ -213,8 +225,22 @@
 
 @_apply.register
 def _apply_workers(event: WorkersRead, state, now, out):
+    state.store_at = now
+    _take_entries(event.entries, state, now, out)
+
+
+@_apply.register
+def _apply_fetched(event: WorkersFetched, state, now, out):
+    if state.entries is not None:
+        return
+    state.store_at = now - event.age
+    out.append(Note("workers-fetched", {"age": round(event.age, 2)}))
+    _take_entries(event.entries, state, now, out)
+
+
+def _take_entries(entries, state, now, out):
     state.entries = {}
-    for entry in event.entries:
+    for entry in entries:
         state.entries.setdefault(entry.service, []).append(entry)
     for desk in state.desks.values():
         _fill_desk(state, desk)
@@ -269,6 +295,18 @@
         state.following = True
         out.append(FollowStore(True))
         out.append(Note("duty", {"taken": True}))
+        _seek_workers(state, now, out)
+
+
+def _seek_workers(state, now, out):
+    """Ask another coordinator, as the store may not answer."""
+    for zone in state.view.list_zones():
+        contact = state.view.find_coordinator(zone, now)
+        if contact is None or contact.member.name == state.own.name:
+            continue
+        if contact.heard_at is not None and contact.store_age is not None:
+            out.append(FetchWorkers(contact.member.ip))
+            return
 
 
 @_fire.register
@@ -283,6 +321,8 @@
         state.entries = None
         out.append(FollowStore(False))
         out.append(Note("duty", {"taken": False}))
+    if state.following and state.entries is None:
+        _seek_workers(state, now, out)
     gone = state.registry.drop_silent(now)
     if gone:
         out.append(Note("members", {"gone": gone}))
@@ -304,9 +344,7 @@
             state.view.digest,
             _wants_list(state, contact, now),
         )
-        contact.beaten_at = now
-        if contact.first_beat is None:
-            contact.first_beat = now
+        contact.note_beat(now)
         if contact.member.name == own.name:
             _receive_beat(beat, state, "", now, out)
         else:
@@ -345,7 +383,8 @@
         state.own.name,
         state.own.born,
         state.config_version,
-        round(state.read_store_age(now), 2),
+        state.read_store_age(now),
+        state.leaving,
         registry.digest,
         rows,
     )
@@ -364,7 +403,8 @@
         state.own.name,
         state.own.born,
         state.config_version,
-        round(state.read_store_age(state.now), 2),
+        state.read_store_age(state.now),
+        state.leaving,
         registry.digest,
         registry.list_rows(),
     )
@@ -382,9 +422,9 @@
     contact = state.view.contacts.get(message.name)
     if contact is None:
         return
-    contact.heard_at = now
+    contact.note_answer(now)
     contact.store_age = message.store_age
-    contact.ask_rest = 0.0
+    contact.leaving = message.leaving
     state.answered_at = now
     if message.members is not None:
         chosen = state.view.find_coordinator(state.own.zone, now)
@@ -408,6 +448,7 @@
     _take_duty(state, now, out)
     if state.entries is None:
         out.append(Note("ask-early", {"ask": message.ask_id}))
+        _seek_workers(state, now, out)
         return
     desk = state.find_desk(message.service)
     answer = desk.decide(message, sender, now)
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -7,12 +7,12 @@
 
 import bisect
 
-from acaciafield import outcomes
-from acaciafield import quarantine
-from acaciafield import structs
 from acaciafield.gateway import backends
 from acaciafield.gateway import budgets
 from acaciafield.gateway import messages
+from acaciafield import outcomes
+from acaciafield import quarantine
+from acaciafield import structs
 
 Ending = outcomes.Ending
 
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -16,6 +16,7 @@
 PROBE_PERIOD = 1.0  # seconds between beats to a silent better candidate
 MOST_PROBES = 2  # silent candidates that a node goes on probing in a zone
 ASK_REST = 1.0  # seconds without asks to a coordinator that missed one
+FORGET_AFTER = 10.0  # seconds without beats after which silence is forgotten
 STALE_AFTER = 2.5  # seconds without the store that make a candidate worse
 
 
@@ -30,37 +31,55 @@
 
 
 class Contact:
-    """What a node knows of a candidate; times in seconds."""
+    """What a node knows of a candidate; times in seconds.
+
+    ``store_age`` is None where it knows no workers at all.
+    """
 
     __slots__ = (
         "member",
         "heard_at",
         "beaten_at",
-        "first_beat",
+        "unanswered",
         "ask_rest",
         "store_age",
-        "told_at",
+        "leaving",
     )
 
     def __init__(self, member):
         self.member = member
         self.heard_at = None
         self.beaten_at = None
-        self.first_beat = None
+        self.unanswered = None
         self.ask_rest = 0.0
         self.store_age = 0.0
-        self.told_at = 0.0
+        self.leaving = False
+
+    def note_beat(self, now):
+        """Note that a heartbeat is sent."""
+        self.beaten_at = now
+        if self.unanswered is None:
+            self.unanswered = now
+
+    def note_answer(self, now):
+        """Note that a heartbeat was answered."""
+        self.heard_at = now
+        self.unanswered = None
+        self.ask_rest = 0.0
 
     def is_silent(self, now):
         """Tell whether beats went unanswered."""
-        if self.first_beat is None:
+        if self.unanswered is None or now - self.beaten_at > FORGET_AFTER:
             return False
-        since = max(self.first_beat, self.heard_at or 0.0)
-        return now - since > SILENT_AFTER
+        return now - self.unanswered > SILENT_AFTER
 
-    def is_stale(self):
-        """Tell whether it has not heard the store for a while."""
-        return self.store_age > STALE_AFTER
+    def grade(self):
+        """Return how much less it knows than it could, 0 for nothing."""
+        if self.leaving:
+            return 3
+        if self.store_age is None:
+            return 2
+        return 1 if self.store_age > STALE_AFTER else 0
 
 
 class Registry:
@@ -161,16 +180,16 @@
 
     def find_coordinator(self, zone, now):
         """Return the contact that coordinates a zone, or None."""
-        stale = None
+        best, best_grade = None, None
         for contact in self.list_candidates(zone):
-            if contact.member.name == self.own.name:
-                return contact
             if contact.is_silent(now):
                 continue
-            if not contact.is_stale():
+            grade = contact.grade()
+            if grade == 0:
                 return contact
-            stale = stale or contact
-        return stale
+            if best is None or grade < best_grade:
+                best, best_grade = contact, grade
+        return best
 
     def list_targets(self, now):
         """Return the contacts to send a heartbeat to now."""
@@ -209,10 +228,10 @@
             rests = contact.ask_rest > now or contact.is_silent(now)
             table = resting if rests else chosen
             table[contact.member.name] = contact
-        fresh = [n for n, c in chosen.items() if not c.is_stale()]
-        late = [n for n, c in chosen.items() if c.is_stale()]
-        ranked = placement.rank_nodes(service, fresh, len(fresh))
-        ranked += placement.rank_nodes(service, late, len(late))
+        ranked = []
+        for grade in range(4):
+            names = [n for n, c in chosen.items() if c.grade() == grade]
+            ranked += placement.rank_nodes(service, names, len(names))
         ranked += placement.rank_nodes(service, list(resting), 1)
         if self.own.name not in ranked:
             ranked.append(self.own.name)
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -128,7 +128,8 @@
 class BeatAnswer(structs.Struct):
     """A coordinator's answer to a heartbeat.
 
-    ``store_age`` is the time since it last heard the platform's store;
+    ``store_age`` is the time since it last heard the platform's store,
+    None while it knows no workers;
     ``members`` is None where the digests agree, else rows of name, born,
     ip, zone, weight, ready.
     """
@@ -139,6 +140,7 @@
         "born",
         "config_version",
         "store_age",
+        "leaving",
         "digest",
         "members",
     )
--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -6,10 +6,10 @@
 import multidict
 import xxhash
 
-from acaciafield import outcomes
-from acaciafield import structs
 from acaciafield.gateway import attempts
 from acaciafield.gateway import messages
+from acaciafield import outcomes
+from acaciafield import structs
 from acaciafield_daemon.gateway import upstream
 
 Ending = outcomes.Ending
--- a/packages/daemon/acaciafield_daemon/gateway/feeds.py
+++ b/packages/daemon/acaciafield_daemon/gateway/feeds.py
@@ -5,9 +5,10 @@
 
 from acaciafield import structs
 
-WORKERS_PERIOD = 0.4  # seconds between reads of changes to workers
-CONFIG_WAIT = 1.0  # seconds that a read of the configuration waits
+WORKERS_PERIOD = 0.6  # seconds between reads of changes to workers
+CONFIG_WAIT = 2.0  # seconds that a read of the configuration waits
 RETRY_PAUSE = 0.25  # seconds after a failed read
+MOST_RETRY_PAUSE = 1.0  # seconds, to which the pause doubles
 AWAY_AFTER = 1.2  # seconds of failed reads that count as an outage
 SETTLE_TIME = 2.2  # seconds after an outage in which entries come back
 
@@ -152,12 +153,15 @@
         follower = Follower(self.store, Stream.WORKERS)
         table = WorkerTable()
         first = True
+        pause = RETRY_PAUSE
         while True:
             read = await self._read(follower, 0.0)
             now = self.clock()
             if read is None:
-                await asyncio.sleep(RETRY_PAUSE)
+                await asyncio.sleep(pause)
+                pause = min(MOST_RETRY_PAUSE, 2 * pause)
                 continue
+            pause = RETRY_PAUSE
             table.note_heard(now)
             changes, whole = read
             rows = [
@@ -176,11 +180,14 @@
 
     async def _follow_configuration(self):
         follower = Follower(self.store, Stream.CONFIGURATION)
+        pause = RETRY_PAUSE
         while True:
             read = await self._read(follower, CONFIG_WAIT)
             if read is None:
-                await asyncio.sleep(RETRY_PAUSE)
+                await asyncio.sleep(pause)
+                pause = min(MOST_RETRY_PAUSE, 2 * pause)
                 continue
+            pause = RETRY_PAUSE
             for _, value in read[0].records:
                 if value is not None:
                     self.hooks.take_configuration(value)
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from acaciafield.gateway import backends
 from acaciafield.gateway import coordination
 from acaciafield.gateway import members
 from acaciafield_daemon.gateway import asking
@@ -25,11 +26,12 @@
 MOST_ADDRESSES = 64  # in one answer to callers
 KEEPALIVE = 90.0  # seconds; longer than callers reuse connections
 MOST_HEAD = 65536  # bytes of one line or field of a caller's request
-START_PAUSE = 0.3  # seconds between tries to learn the fleet at the start
-LATE_MEMBERS = 2.0  # seconds after which members are read once more
-CLOSE_IDLE_AT = 0.4  # share of the grace after which listeners close
+START_PAUSE = 0.3  # seconds after the first try to learn of the fleet
+MOST_START_PAUSE = 2.0  # seconds, to which the pause doubles
+CLOSE_SHARE = 0.4  # of the grace after which idle connections are closed
 EXIT_SLACK = 0.4  # seconds before the end of the grace to exit
-STOP_POLL = 0.05  # seconds
+STOP_PAUSE = 0.05  # seconds
+MOST_FETCHES = 3  # documents fetched from other nodes at the same time
 
 
 class Gateway:
@@ -56,6 +58,7 @@
         documents = {
             "configuration": lambda: self.raw_configuration,
             "members": self._dump_members,
+            "workers": self._dump_workers,
             "metrics": self._dump_metrics,
         }
         self.peers = peers.Peers(
@@ -132,52 +135,50 @@
     # The fleet
 
     async def _learn_fleet(self):
-        while True:
-            learned = await self._read_store()
+        """Make this node known, and learn of others until one is found.
+
+        The own record goes first: of two nodes that start together, at
+        least one then finds the other. Coordinators spread the rest.
+        """
+        pause = START_PAUSE
+        written = learned = False
+        started = False
+        while not (written and learned):
+            written = written or await self._write_self()
+            learned = learned or await self._read_store()
             if not learned:
-                learned = await self._read_seeds()
-            if learned:
-                break
-            await asyncio.sleep(START_PAUSE)
-        self._apply(self.state.start(self.clock()))
-        self.state.ready = True
-        await self._publish_self()
-        await asyncio.sleep(LATE_MEMBERS)
-        await self._read_members()
-
-    async def _publish_self(self):
-        while True:
-            try:
-                await self.store.write_member(self.state.own)
-                return
-            except feeds.StoreError as error:
-                self.log.write("dependency", part="store", lost=str(error))
-                await asyncio.sleep(LATE_MEMBERS)
-
-    async def _read_store(self):
-        stream = feeds.Stream.CONFIGURATION
+                await self._read_seeds()
+            if not started:
+                started = True
+                self._apply(self.state.start(self.clock()))
+            if not (written and learned):
+                await asyncio.sleep(pause)
+                pause = min(MOST_START_PAUSE, 2 * pause)
+
+    async def _write_self(self):
         try:
-            changes = await self.store.read_newest(stream)
+            await self.store.write_member(self.state.own)
         except feeds.StoreError as error:
             self.log.write("dependency", part="store", lost=str(error))
             return False
-        for _, value in changes.records:
-            if value is not None:
-                self.take_configuration(value)
-        await self._read_members()
-        return self.entry.configuration is not None
+        return True
 
-    async def _read_members(self):
+    async def _read_store(self):
         try:
+            changes = await self.store.read_newest(feeds.Stream.CONFIGURATION)
+            for _, value in changes.records:
+                if value is not None:
+                    self.take_configuration(value)
             changes = await self.store.read_newest(feeds.Stream.MEMBERS)
         except feeds.StoreError as error:
             self.log.write("dependency", part="store", lost=str(error))
-            return
+            return False
         found = [
             self.store.decode_member(key, value)
             for key, value in changes.records
         ]
         self._take_members([m for m in found if m is not None])
+        return True
 
     async def _read_seeds(self):
         for ip in self.options.seed_ips:
@@ -192,7 +193,6 @@
                     )
             except (aiohttp.ClientError, OSError, ValueError) as error:
                 self.log.write("seed-silent", seed=ip, cause=repr(error))
-        return self.entry.configuration is not None
 
     def _take_members(self, found):
         event = coordination.MembersRead(self.clock(), found)
@@ -202,6 +202,17 @@
         rows = [m.as_row() for m in self.state.view.members.values()]
         return orjson.dumps(rows)
 
+    def _dump_workers(self):
+        age = self.state.read_store_age(self.clock())
+        if age is None:
+            return None
+        rows = [
+            [getattr(entry, name) for name in entry.__slots__]
+            for found in self.state.entries.values()
+            for entry in found
+        ]
+        return orjson.dumps({"age": age, "workers": rows})
+
     # Hooks of the feeds
 
     def hear_store(self):
@@ -227,6 +238,7 @@
         if known is not None and configuration.version <= known.version:
             return
         self.entry.configuration = configuration
+        self.state.ready = True
         self.raw_configuration = raw
         self.log.write(
             "configuration",
@@ -265,7 +277,9 @@
             elif kind is coordination.FollowStore:
                 self.feeds.set_active(effect.active)
             elif kind is coordination.FetchConfiguration:
-                self._start_fetch(effect.ip, effect.version)
+                self._start_fetch(self._fetch(effect.ip, effect.version))
+            elif kind is coordination.FetchWorkers:
+                self._start_fetch(self._fetch_workers(effect.ip))
         self._arm_timer()
 
     def _arm_timer(self):
@@ -281,11 +295,12 @@
         self._timer = None
         self._feed(coordination.Tick)
 
-    def _start_fetch(self, ip, version):
-        if self._fetching >= 3:
+    def _start_fetch(self, coroutine):
+        if self._fetching >= MOST_FETCHES:
+            coroutine.close()
             return
         self._fetching += 1
-        task = asyncio.ensure_future(self._fetch(ip, version))
+        task = asyncio.ensure_future(coroutine)
         task.add_done_callback(self._end_fetch)
 
     def _end_fetch(self, task):
@@ -295,14 +310,27 @@
         known = self.entry.configuration
         if known is not None and known.version >= version:
             return
-        try:
-            raw = await self.peers.fetch(ip, "configuration")
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            self.log.write("fetch-failed", peer=ip, cause=repr(error))
-            return
+        raw = await self._fetch_document(ip, "configuration")
         if raw is not None:
             self.take_configuration(raw)
 
+    async def _fetch_workers(self, ip):
+        raw = await self._fetch_document(ip, "workers")
+        if raw is None:
+            return
+        document = orjson.loads(raw)
+        found = [backends.WorkerEntry(*row) for row in document["workers"]]
+        self._feed(coordination.WorkersFetched, found, document["age"])
+
+    async def _fetch_document(self, ip, name):
+        try:
+            return await self.peers.fetch(ip, name)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self.log.write(
+                "fetch-failed", peer=ip, document=name, cause=repr(error)
+            )
+            return None
+
     # What the node tells about itself
 
     async def _answer_ready(self, request):
@@ -312,7 +340,7 @@
     def _is_ready(self):
         if self.stopping.is_set():
             return False
-        return self.state.ready and self.entry.configuration is not None
+        return self.state.ready
 
     async def _answer_resolve(self, request):
         zone = request.query.get("zone", "")
@@ -344,7 +372,7 @@
             "configuration_version": version,
             "members": len(self.state.view.members),
             "coordinating": int(self.state.following),
-            "store_age_seconds": round(self.state.read_store_age(now), 3),
+            "store_age_seconds": self.state.read_store_age(now) or 0,
             "unreadable_messages": self.peers.unreadable,
             "log_lines_dropped": self.log.dropped,
         }
@@ -364,19 +392,10 @@
         self.entry.leaving = True
         self.log.write("stop", active=self.entry.active, began=True)
         self._feed(coordination.StopAsked)
-        end = began + self.options.grace - EXIT_SLACK
-        close_at = began + CLOSE_IDLE_AT * self.options.grace
-        closed = False
-        while self.clock() < end:
-            if not closed and self.clock() >= close_at:
-                closed = True
-                for listener in self._listeners:
-                    listener.close()
-                for handler in self._front.connections:
-                    handler.keep_alive(False)
-                    if handler._current_request is None:
-                        handler.close()
-            if closed and not self.entry.active:
-                break
-            await asyncio.sleep(STOP_POLL)
-        await asyncio.sleep(STOP_POLL)
+        close_at = CLOSE_SHARE * self.options.grace
+        await asyncio.sleep(close_at)
+        for listener in self._listeners:
+            listener.close()
+        left = self.options.grace - EXIT_SLACK - (self.clock() - began)
+        await self._front.shutdown(max(STOP_PAUSE, left))
+        await asyncio.sleep(STOP_PAUSE)
--- /dev/null
+++ b/tests/gateway_support.py
@@ -0,0 +1,135 @@
+"""Builders of test data for the gateway."""
+
+from acaciafield.gateway import backends
+from acaciafield.gateway import coordination
+from acaciafield.gateway import granting
+from acaciafield.gateway import members
+from acaciafield.gateway import messages
+from acaciafield.gateway import routes
+
+TERMS = granting.Terms(ratio=0.2, slack=20.0, window=10.0)
+
+
+def make_entry(worker_id="w1", **fields):
+    """Return a WorkerEntry of an ordinary worker."""
+    values = {
+        "worker_id": worker_id,
+        "service": "orders",
+        "address": "127.0.0.1:%d" % (9000 + int(worker_id[1:])),
+        "zone": "za",
+        "slots": 2,
+        "draining": False,
+        "warm_up": 0.0,
+        "born": 1,
+    }
+    return backends.WorkerEntry(**(values | fields))
+
+
+def make_ask(ask_id="r1:1", **fields):
+    """Return an Ask of an ordinary request."""
+    values = {
+        "ask_id": ask_id,
+        "node": "n1",
+        "zone": "za",
+        "service": "orders",
+        "route": "r",
+        "idempotent": True,
+        "priority": 1,
+        "target": 1.0,
+        "left": 2.0,
+        "repeats": 0,
+        "avoid": [],
+        "fingerprint": "f-" + ask_id,
+    }
+    return messages.Ask(**(values | fields))
+
+
+def make_report(ask_id, worker_id, ending="answered", **fields):
+    """Return a Report of an attempt that took a tenth of a second."""
+    values = {
+        "service": "orders",
+        "ask_id": ask_id,
+        "node": "n1",
+        "worker_id": worker_id,
+        "route": "r",
+        "ending": ending,
+        "latency": 0.1,
+        "size": 100,
+        "load": None,
+        "fingerprint": "f-" + ask_id,
+    }
+    return messages.Report(**(values | fields))
+
+
+def make_member(name="n1", **fields):
+    """Return a Member."""
+    values = {
+        "name": name,
+        "born": 1,
+        "ip": "10.0.0.%s" % name[1:],
+        "zone": "za",
+        "weight": 1.0,
+        "ready": True,
+    }
+    return members.Member(**(values | fields))
+
+
+def make_state(name="n1", **fields):
+    """Return a NodeState."""
+    return coordination.NodeState(make_member(name, **fields), TERMS, 1)
+
+
+def make_desk(count=3, now=0.0, **fields):
+    """Return a Desk with workers w1, w2 and so on."""
+    state = make_state()
+    desk = granting.Desk("orders", TERMS, state.random)
+    entries = [
+        make_entry("w%d" % number, **fields) for number in range(1, count + 1)
+    ]
+    desk.take_entries(entries, now)
+    return desk
+
+
+def make_route(name="r", prefix="/a/", **fields):
+    """Return a Route."""
+    values = {
+        "name": name,
+        "hostname": "shop.example",
+        "prefix": prefix,
+        "kind": routes.Kind.SAFE,
+        "timeout": 2.0,
+        "target": 1.0,
+        "priority": 1,
+        "most_attempts": 2,
+        "split": [("orders", 1)],
+    }
+    return routes.Route(**(values | fields))
+
+
+def make_beat(state, now=0.0, **fields):
+    """Return the Beat that a node would send."""
+    own = state.own
+    values = {
+        "name": own.name,
+        "born": own.born,
+        "ip": own.ip,
+        "zone": own.zone,
+        "weight": own.weight,
+        "ready": True,
+        "leaving": False,
+        "config_version": state.config_version,
+        "digest": state.view.digest,
+        "wants_list": True,
+    }
+    return messages.Beat(**(values | fields))
+
+
+def receive(state, message, now, sender="10.0.0.9"):
+    """Feed a message to a node; return the effects."""
+    event = coordination.MessageReceived(now, sender, message)
+    return coordination.reduce_event(state, event)
+
+
+def pick(effects, kind):
+    """Return the effects of a kind."""
+    return [effect for effect in effects if type(effect) is kind]
--- /dev/null
+++ b/tests/test_gateway_coordination.py
@@ -0,0 +1,87 @@
+"""Coordinators: who they are, and what they do without the store."""
+
+from acaciafield.gateway import coordination
+from acaciafield.gateway import messages
+from tests import gateway_support as support
+
+
+def answer(name, **fields):
+    values = {
+        "name": name,
+        "born": 1,
+        "config_version": 0,
+        "store_age": 0.1,
+        "leaving": False,
+        "digest": "",
+        "members": None,
+    }
+    return messages.BeatAnswer(**(values | fields))
+
+
+def test_node_new_on_duty_fetches_workers_from_another_coordinator():
+    state = support.make_state("n1")
+    other = support.make_member("n2", zone="zb")
+    state.view.add_candidate(other)
+    state.start(10.0)
+    coordination.reduce_event(state, coordination.Tick(10.0))
+    support.receive(state, answer("n2", store_age=5.0), 10.1)
+    effects = support.receive(
+        state, support.make_ask(), 10.2, sender="10.0.0.3"
+    )
+    fetches = support.pick(effects, coordination.FetchWorkers)
+    assert [fetch.ip for fetch in fetches] == [other.ip]
+
+
+def test_workers_of_another_coordinator_serve_until_the_store_answers():
+    state = support.make_state("n1")
+    state.start(10.0)
+    entries = [support.make_entry("w1")]
+    coordination.reduce_event(
+        state, coordination.WorkersFetched(10.0, entries, 4.0)
+    )
+    effects = support.receive(state, support.make_ask(), 10.1)
+    sent = support.pick(effects, coordination.Send)
+    assert isinstance(sent[0].message, messages.Grant)
+    assert state.read_store_age(10.1) > 4.0
+    newer = [support.make_entry("w2")]
+    coordination.reduce_event(state, coordination.WorkersRead(10.2, newer))
+    coordination.reduce_event(
+        state, coordination.WorkersFetched(10.3, entries, 4.0)
+    )
+    assert [e.worker_id for e in state.entries["orders"]] == ["w2"]
+
+
+def test_candidate_without_workers_comes_after_one_that_holds_them():
+    state = support.make_state("n9", zone="zz")
+    for name in ("n1", "n2"):
+        state.view.add_candidate(support.make_member(name))
+    first, second = state.view.list_candidates("za")
+    for contact, age in ((first, None), (second, 30.0)):
+        contact.heard_at = 1.0
+        contact.store_age = age
+    assert state.view.find_coordinator("za", 1.1) is second
+
+
+def test_leaving_node_is_not_chosen_as_coordinator():
+    state = support.make_state("n9", zone="zz")
+    for name in ("n1", "n2"):
+        state.view.add_candidate(support.make_member(name))
+    first, second = state.view.list_candidates("za")
+    support.receive(state, answer(first.member.name, leaving=True), 1.0)
+    support.receive(state, answer(second.member.name), 1.0)
+    assert state.view.find_coordinator("za", 1.1) is second
+
+
+def test_candidate_that_is_no_longer_beaten_is_not_silent():
+    state = support.make_state("n9", zone="zz")
+    state.view.add_candidate(support.make_member("n1"))
+    contact = state.view.list_candidates("za")[0]
+    contact.note_beat(1.0)
+    contact.note_answer(1.01)
+    assert not contact.is_silent(20.0)
+    contact.note_beat(20.0)
+    assert not contact.is_silent(21.0)
+    assert contact.is_silent(21.5)
+    contact.note_beat(22.0)
+    contact.note_answer(22.1)
+    assert not contact.is_silent(22.2)
