--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -5,6 +5,8 @@
 this out by itself; two views that differ cost only shared evidence.
 """
 
+import enum
+
 import xxhash
 
 from acaciafield import placement
@@ -14,7 +16,7 @@
 SILENT_AFTER = 1.3  # seconds without an answer, two lost beats and a delay
 GONE_AFTER = 1.7  # seconds without a beat, three lost beats and a delay
 PROBE_PERIOD = 1.0  # seconds between beats to a silent better candidate
-MOST_PROBES = 2  # silent candidates that a node goes on probing in a zone
+MOST_PROBES = 1  # other candidates of a zone that one round may probe
 ASK_REST = 1.0  # seconds without asks to a coordinator that missed one
 FORGET_AFTER = 10.0  # seconds without beats after which silence is forgotten
 STALE_AFTER = 2.5  # seconds without the store that make a candidate worse
@@ -30,6 +32,16 @@
         return [getattr(self, name) for name in self.__slots__]
 
 
+class Grade(enum.IntEnum):
+    """What a candidate knows of the workers; less is better."""
+
+    FRESH = 0
+    STALE = 1
+    UNKNOWN = 2
+    BLIND = 3
+    LEAVING = 4
+
+
 class Contact:
     """What a node knows of a candidate; times in seconds.
 
@@ -52,7 +64,7 @@
         self.beaten_at = None
         self.unanswered = None
         self.ask_rest = 0.0
-        self.store_age = 0.0
+        self.store_age = None
         self.leaving = False
 
     def note_beat(self, now):
@@ -74,12 +86,14 @@
         return now - self.unanswered > SILENT_AFTER
 
     def grade(self):
-        """Return how much less it knows than it could, 0 for nothing."""
+        """Return how much less it knows than it could, as a Grade."""
         if self.leaving:
-            return 3
+            return Grade.LEAVING
+        if self.heard_at is None:
+            return Grade.UNKNOWN
         if self.store_age is None:
-            return 2
-        return 1 if self.store_age > STALE_AFTER else 0
+            return Grade.BLIND
+        return Grade.STALE if self.store_age > STALE_AFTER else Grade.FRESH
 
 
 class Registry:
@@ -185,7 +199,7 @@
             if contact.is_silent(now):
                 continue
             grade = contact.grade()
-            if grade == 0:
+            if grade is Grade.FRESH:
                 return contact
             if best is None or grade < best_grade:
                 best, best_grade = contact, grade
@@ -200,19 +214,24 @@
 
     def _list_zone_targets(self, zone, now):
         chosen = self.find_coordinator(zone, now)
-        found, probed = [], 0
-        for contact in self.list_candidates(zone):
-            if contact is chosen:
-                found.append(contact)
-                break
-            if contact.member.name == self.own.name:
-                continue
-            if probed >= MOST_PROBES:
-                continue
-            probed += 1
-            if now - (contact.beaten_at or 0.0) >= PROBE_PERIOD:
-                found.append(contact)
-        return found
+        if chosen is None:
+            return self._list_probes(zone, None, now)
+        if chosen.grade() is Grade.FRESH:
+            rank = self.list_candidates(zone).index(chosen)
+            return [chosen, *self._list_probes(zone, rank, now)]
+        return [chosen, *self._list_probes(zone, None, now, chosen)]
+
+    def _list_probes(self, zone, rank, now, chosen=None):
+        """Return the candidates, before ``rank``, to look for life."""
+        found = [
+            contact
+            for contact in self.list_candidates(zone)[:rank]
+            if contact is not chosen
+            and contact.member.name != self.own.name
+            and now - (contact.beaten_at or 0.0) >= PROBE_PERIOD
+        ]
+        found.sort(key=lambda contact: contact.beaten_at or 0.0)
+        return found[:MOST_PROBES]
 
     def rank_coordinators(self, service, now):
         """Return the names to ask for a service, first choice first.
@@ -229,8 +248,8 @@
             table = resting if rests else chosen
             table[contact.member.name] = contact
         ranked = []
-        for grade in range(4):
-            names = [n for n, c in chosen.items() if c.grade() == grade]
+        for grade in Grade:
+            names = [n for n, c in chosen.items() if c.grade() is grade]
             ranked += placement.rank_nodes(service, names, len(names))
         ranked += placement.rank_nodes(service, list(resting), 1)
         if self.own.name not in ranked:
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -396,6 +396,24 @@
         await asyncio.sleep(close_at)
         for listener in self._listeners:
             listener.close()
-        left = self.options.grace - EXIT_SLACK - (self.clock() - began)
-        await self._front.shutdown(max(STOP_PAUSE, left))
+        end = began + self.options.grace - EXIT_SLACK
+        await self._close_connections(end)
         await asyncio.sleep(STOP_PAUSE)
+
+    async def _close_connections(self, end):
+        """Close idle connections and the others after their answers.
+
+        A connection may still be accepted while the listener closes, so
+        new ones are looked for until none is left.
+        """
+        closing = {}
+        while self.clock() < end:
+            for handler in self._front.connections:
+                if handler not in closing:
+                    left = max(0.0, end - self.clock())
+                    closing[handler] = asyncio.ensure_future(
+                        handler.shutdown(left)
+                    )
+            await asyncio.sleep(STOP_PAUSE)
+            if not self._front.connections:
+                return
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -85,3 +85,37 @@
     contact.note_beat(22.0)
     contact.note_answer(22.1)
     assert not contact.is_silent(22.2)
+
+
+def test_store_outage_does_not_call_every_candidate_to_duty():
+    state = support.make_state("n9", zone="zz")
+    for number in range(1, 9):
+        state.view.add_candidate(support.make_member("n%d" % number))
+    chosen = state.view.list_candidates("za")[0]
+    beaten, now = set(), 1.0
+    while now < 3.9:
+        for contact in state.view.list_targets(now):
+            if contact.member.zone == "za":
+                contact.note_beat(now)
+                beaten.add(contact.member.name)
+        chosen.note_answer(now)
+        chosen.store_age = 30.0
+        assert state.view.find_coordinator("za", now) is chosen
+        now += 0.5
+    assert chosen.member.name in beaten
+    assert len(beaten) <= 8 - 1
+
+
+def test_unknown_candidate_is_looked_for_while_the_known_one_is_stale():
+    state = support.make_state("n9", zone="zz")
+    for name in ("n1", "n2"):
+        state.view.add_candidate(support.make_member(name))
+    first, second = state.view.list_candidates("za")
+    first.note_answer(1.0)
+    first.store_age = 30.0
+    assert state.view.find_coordinator("za", 1.1) is first
+    targets = state.view.list_targets(1.1)
+    assert second in targets
+    second.note_answer(1.2)
+    second.store_age = 0.2
+    assert state.view.find_coordinator("za", 1.3) is second
