--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -50,6 +50,14 @@
         self.size = 5000.0
         self.count = 0
 
+    def dump(self):
+        """Return the values as a list."""
+        return [self.mean, self.deviation, self.size, self.count]
+
+    def load(self, row):
+        """Take over the values of another coordinator."""
+        self.mean, self.deviation, self.size, self.count = row
+
     def add(self, latency, size):
         """Take in one answer."""
         self.count += 1
@@ -107,6 +115,19 @@
         self.entry = entry
         self.warm_at = now + entry.warm_up
 
+    def dump(self, now):
+        """Return what is known of the worker, with ages for times."""
+        return [self.risk, now - self.risk_at, self.decay, self.failures]
+
+    def load(self, row, now):
+        """Take over what another coordinator knows, if it is worse."""
+        risk, age, decay, failures = row
+        known = risk * math.exp(-age / decay)
+        if known <= self.read_risk(now):
+            return
+        self.risk, self.risk_at = risk, now - age
+        self.decay, self.failures = decay, failures
+
     def read_risk(self, now):
         """Return the present probability of a failure."""
         if self.risk < NEGLIGIBLE_RISK:
--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -32,9 +32,13 @@
 
 
 class WorkersFetched(structs.Struct):
-    """Another coordinator's list of workers, ``age`` seconds old."""
+    """Another coordinator's list of workers, ``age`` seconds old.
 
-    __slots__ = ("now", "entries", "age")
+    ``knowledge`` maps a service to what granting.Desk.dump returned.
+    """
+
+    __slots__ = ("now", "entries", "age", "knowledge")
+    DEFAULTS = {"knowledge": {}}
 
 
 class StoreHeard(structs.Struct):
@@ -136,6 +140,7 @@
         "entries",
         "duty_until",
         "following",
+        "informed",
         "store_at",
         "answered_at",
         "config_version",
@@ -155,6 +160,7 @@
         self.entries = None
         self.duty_until = 0.0
         self.following = False
+        self.informed = False
         self.store_at = None
         self.answered_at = None
         self.config_version = 0
@@ -184,6 +190,10 @@
             return None
         return round(now - self.store_at, 2)
 
+    def dump_knowledge(self, now):
+        """Return what the desks know, for another coordinator."""
+        return {name: desk.dump(now) for name, desk in self.desks.items()}
+
     def next_due(self):
         """Return when a tick is needed next, in seconds, or None."""
         return self.timers.next_due()
@@ -231,11 +241,14 @@
 
 @_apply.register
 def _apply_fetched(event: WorkersFetched, state, now, out):
-    if state.entries is not None:
-        return
-    state.store_at = now - event.age
-    out.append(Note("workers-fetched", {"age": round(event.age, 2)}))
-    _take_entries(event.entries, state, now, out)
+    state.informed = True
+    if state.entries is None:
+        state.store_at = now - event.age
+        _take_entries(event.entries, state, now, out)
+    for service, document in event.knowledge.items():
+        state.find_desk(service).load(document, now)
+    fields = {"age": event.age, "services": len(event.knowledge)}
+    out.append(Note("workers-fetched", fields))
 
 
 def _take_entries(entries, state, now, out):
@@ -317,11 +330,12 @@
         _take_duty(state, now, out)
     if state.following and now > state.duty_until:
         state.following = False
+        state.informed = False
         state.desks.clear()
         state.entries = None
         out.append(FollowStore(False))
         out.append(Note("duty", {"taken": False}))
-    if state.following and state.entries is None:
+    if state.following and not state.informed:
         _seek_workers(state, now, out)
     gone = state.registry.drop_silent(now)
     if gone:
@@ -459,7 +473,10 @@
 
 def _answer_ask(answer, ask, state, sender, out):
     _send(state, sender, answer, out)
-    if not isinstance(answer, messages.Grant):
+    if isinstance(answer, messages.Queued):
+        return
+    out.append(_describe_decision(answer, ask, state))
+    if isinstance(answer, messages.Refusal):
         return
     granted = messages.Granted(
         ask.service,
@@ -477,6 +494,23 @@
             out.append(Send(contact.member.ip, granted))
 
 
+def _describe_decision(answer, ask, state):
+    desk = state.desks[ask.service]
+    fields = {
+        "ask": ask.ask_id,
+        "service": ask.service,
+        "store_age": state.read_store_age(state.now),
+        "waiting": len(desk.queue),
+    }
+    if isinstance(answer, messages.Refusal):
+        fields["reason"] = answer.reason
+        fields["retry_after"] = answer.retry_after
+        return Note("refusal", fields)
+    fields["worker"] = answer.worker_id
+    fields.update(desk.describe_choice(answer.worker_id, state.now))
+    return Note("grant", fields)
+
+
 def _arm_dispatch(state, now):
     due = now + DISPATCH_PERIOD
     state.timers.subscribe("dispatch", due, DispatchTimer())
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -116,6 +116,52 @@
             elif entry != worker.entry:
                 worker.take_entry(entry, now)
 
+    def dump(self, now):
+        """Return what this desk knows, with ages in place of times."""
+        return {
+            "workers": {
+                worker_id: worker.dump(now)
+                for worker_id, worker in self.workers.items()
+            },
+            "latencies": {
+                route: latency.dump()
+                for route, latency in self.latencies.items()
+            },
+            "flights": [
+                [
+                    flight.ask_id,
+                    flight.node,
+                    flight.route,
+                    now - flight.started,
+                    flight.expires - now,
+                    flight.repeats,
+                    flight.worker.entry.worker_id,
+                ]
+                for flight in self.flights.values()
+            ],
+        }
+
+    def load(self, document, now):
+        """Take over what another coordinator's desk knows."""
+        for worker_id, row in document["workers"].items():
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                worker.load(row, now)
+        for route, row in document["latencies"].items():
+            known = self.latencies.setdefault(route, backends.Latency(0.0))
+            if row[-1] > known.count:
+                known.load(row)
+        for row in document["flights"]:
+            worker = self.workers.get(row[-1])
+            if worker is None or row[0] in self.flights:
+                continue
+            ask_id, node, route, age, left, repeats, _ = row
+            flight = Flight(
+                ask_id, node, route, now - age, now + left, repeats, worker
+            )
+            worker.flights[ask_id] = flight
+            self.flights[ask_id] = flight
+
     def decide(self, ask, sender, now):
         """Return a Grant, Queued or Refusal for an ask."""
         flight = self.flights.get(ask.ask_id)
@@ -263,6 +309,24 @@
             round(hedge, 3),
         )
 
+    def describe_choice(self, worker_id, now):
+        """Return what spoke for and against a worker, for the log."""
+        worker = self.workers[worker_id]
+        usable = sum(
+            1
+            for other in self.workers.values()
+            if not other.entry.draining
+            and len(other.flights) < other.entry.slots
+            and now >= other.full_until
+        )
+        return {
+            "risk": round(worker.read_risk(now), 3),
+            "stuck": round(worker.estimate_hang(self.latencies, now), 3),
+            "flights": len(worker.flights),
+            "usable": usable,
+            "listed": len(self.workers),
+        }
+
     def take_granted(self, message, now):
         """Learn what another coordinator granted."""
         if message.ask_id in self.flights:
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -85,12 +85,12 @@
             return False
         return now - self.unanswered > SILENT_AFTER
 
-    def grade(self):
+    def grade(self, now):
         """Return how much less it knows than it could, as a Grade."""
+        if self.heard_at is None or now - self.heard_at > STALE_AFTER:
+            return Grade.UNKNOWN
         if self.leaving:
             return Grade.LEAVING
-        if self.heard_at is None:
-            return Grade.UNKNOWN
         if self.store_age is None:
             return Grade.BLIND
         return Grade.STALE if self.store_age > STALE_AFTER else Grade.FRESH
@@ -198,7 +198,7 @@
         for contact in self.list_candidates(zone):
             if contact.is_silent(now):
                 continue
-            grade = contact.grade()
+            grade = contact.grade(now)
             if grade is Grade.FRESH:
                 return contact
             if best is None or grade < best_grade:
@@ -216,7 +216,7 @@
         chosen = self.find_coordinator(zone, now)
         if chosen is None:
             return self._list_probes(zone, None, now)
-        if chosen.grade() is Grade.FRESH:
+        if chosen.grade(now) is Grade.FRESH:
             rank = self.list_candidates(zone).index(chosen)
             return [chosen, *self._list_probes(zone, rank, now)]
         return [chosen, *self._list_probes(zone, None, now, chosen)]
@@ -249,7 +249,7 @@
             table[contact.member.name] = contact
         ranked = []
         for grade in Grade:
-            names = [n for n, c in chosen.items() if c.grade() is grade]
+            names = [n for n, c in chosen.items() if c.grade(now) is grade]
             ranked += placement.rank_nodes(service, names, len(names))
         ranked += placement.rank_nodes(service, list(resting), 1)
         if self.own.name not in ranked:
--- a/packages/daemon/acaciafield_daemon/gateway/decisions.py
+++ b/packages/daemon/acaciafield_daemon/gateway/decisions.py
@@ -12,7 +12,7 @@
 import orjson
 
 MOST_QUEUED = 4000  # lines held while the reader of the output is slow
-KIND_BUDGET = 40  # lines of one kind in a second
+KIND_BUDGET = 100  # lines of one kind in a second
 FLUSH_PERIOD = 0.2  # seconds
 WRITE_SIZE = 65536  # bytes written at a time
 ALWAYS = frozenset(("failed", "start", "stop", "reload", "dependency"))
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -211,7 +211,13 @@
             for found in self.state.entries.values()
             for entry in found
         ]
-        return orjson.dumps({"age": age, "workers": rows})
+        return orjson.dumps(
+            {
+                "age": age,
+                "workers": rows,
+                "knowledge": self.state.dump_knowledge(self.clock()),
+            }
+        )
 
     # Hooks of the feeds
 
@@ -320,7 +326,12 @@
             return
         document = orjson.loads(raw)
         found = [backends.WorkerEntry(*row) for row in document["workers"]]
-        self._feed(coordination.WorkersFetched, found, document["age"])
+        self._feed(
+            coordination.WorkersFetched,
+            found,
+            document["age"],
+            document["knowledge"],
+        )
 
     async def _fetch_document(self, ip, name):
         try:
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -119,3 +119,42 @@
     second.note_answer(1.2)
     second.store_age = 0.2
     assert state.view.find_coordinator("za", 1.3) is second
+
+
+def test_candidate_heard_long_ago_does_not_count_as_fresh():
+    state = support.make_state("n9", zone="zz")
+    for name in ("n1", "n2"):
+        state.view.add_candidate(support.make_member(name))
+    first, second = state.view.list_candidates("za")
+    first.note_answer(1.0)
+    first.store_age = 0.1
+    second.note_answer(30.0)
+    second.store_age = 20.0
+    assert state.view.find_coordinator("za", 30.1) is second
+
+
+def test_new_coordinator_takes_over_what_is_known_of_workers():
+    old = support.make_state("n1")
+    old.start(10.0)
+    entries = [support.make_entry("w%d" % n, slots=4) for n in (1, 2)]
+    coordination.reduce_event(old, coordination.WorkersRead(10.0, entries))
+    support.receive(old, support.make_ask("r1:1", left=5.0), 10.1)
+    flight = next(iter(old.desks["orders"].flights.values()))
+    bad = flight.worker.entry.worker_id
+    support.receive(old, support.make_ask("r2:1", left=5.0), 10.1)
+    report = support.make_report("r1:1", bad, "failed")
+    support.receive(old, report, 10.2)
+    new = support.make_state("n2")
+    new.start(110.0)
+    document = old.dump_knowledge(10.3)
+    coordination.reduce_event(
+        new, coordination.WorkersFetched(110.0, entries, 0.3, document)
+    )
+    desk = new.desks["orders"]
+    assert desk.workers[bad].read_risk(110.0) > 0.5
+    assert list(desk.flights) == ["r2:1"]
+    effects = support.receive(
+        new, support.make_ask("r3:1", idempotent=False), 110.0
+    )
+    grant = support.pick(effects, coordination.Send)[0].message
+    assert grant.worker_id != bad
