--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -1,5 +1,6 @@
 """Workers of a service as a coordinator sees them."""
 
+import collections
 import math
 
 from acaciafield import structs
@@ -12,8 +13,8 @@
 PATH_REST = 3.0  # seconds that a path which took no connection is avoided
 FULL_REST = 0.25  # seconds that a worker which refused is avoided
 HANG_MEANS = 3.0  # mean latencies after which a request looks stuck
-HANG_SPAN = 4.0  # mean latencies over which the suspicion grows
-MOST_HANG_RISK = 0.9
+HANG_PRIOR = 1.0  # good answers that every worker is credited with
+KEPT_GOOD = 12  # times of good answers that are kept for a worker
 NEGLIGIBLE_RISK = 0.02
 
 
@@ -91,7 +92,7 @@
         "failures",
         "full_until",
         "bad_paths",
-        "used",
+        "good_at",
     )
 
     def __init__(self, entry, now):
@@ -104,7 +105,7 @@
         self.failures = 0
         self.full_until = now
         self.bad_paths = {}
-        self.used = False
+        self.good_at = collections.deque(maxlen=KEPT_GOOD)
 
     def take_entry(self, entry, now):
         """Take in a newer entry; a restart clears what was known."""
@@ -137,6 +138,7 @@
 
     def note_good(self, started, now):
         """Count a good answer to a request that began at ``started``."""
+        self.good_at.append(now)
         if started < self.risk_at:
             return
         self.risk = self.read_risk(now) * GOOD_FACTOR
@@ -176,12 +178,20 @@
                 del self.flights[ask_id]
 
     def estimate_hang(self, latencies, now):
-        """Return the risk that the oldest flight has got stuck."""
-        worst = 0.0
+        """Return the risk that what runs here gets no answer.
+
+        Flights that are far older than usual are weighed against the
+        good answers since the oldest of them began.
+        """
+        late, oldest = 0, now
         for flight in self.flights.values():
             latency = latencies.get(flight.route)
             if latency is None or not latency.count:
                 continue
-            means = (now - flight.started) / max(latency.mean, 1e-3)
-            worst = max(worst, (means - HANG_MEANS) / HANG_SPAN)
-        return min(MOST_HANG_RISK, worst) if worst > 0.0 else 0.0
+            if now - flight.started > HANG_MEANS * latency.mean:
+                late += 1
+                oldest = min(oldest, flight.started)
+        if not late:
+            return 0.0
+        good = sum(1 for at in self.good_at if at > oldest)
+        return late / (late + good + HANG_PRIOR)
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -25,6 +25,8 @@
 SCOUT_RISK = 0.35  # risk below which a repeatable request may find out
 SCOUT_BONUS = 1.0  # makes the scouted worker the first choice
 SCOUT_BUDGET = 0.5  # share of the repeat budget that scouting may reach
+FIRST_BEARABLE = 0.3  # risk that an order takes rather than wait at all
+LAST_CHANCE = 0.8  # share of the wait after which any worker will do
 HOLD_SHARE = 0.5  # share of the target that a request may wait
 LEAST_RETRY_AFTER = 0.1  # seconds
 MOST_RETRY_AFTER = 3.0  # seconds
@@ -49,7 +51,16 @@
 class Waiting(structs.Struct):
     """An ask in the queue; ``order`` sorts it, most urgent first."""
 
-    __slots__ = ("order", "ask", "sender", "expires")
+    __slots__ = ("order", "ask", "sender", "since", "expires")
+
+    def find_bearable(self, now):
+        """Return the risk that is better than to wait on.
+
+        It grows with the part of the wait that has passed.
+        """
+        hold = max(self.expires - self.since, 1e-6)
+        passed = min(1.0, (now - self.since) / (LAST_CHANCE * hold))
+        return FIRST_BEARABLE + (1.0 - FIRST_BEARABLE) * passed
 
     def __lt__(self, other):
         return self.order < other.order
@@ -174,7 +185,7 @@
             return refusal
         worker = None
         if not self._is_behind(ask):
-            worker = self.choose_worker(ask, now)
+            worker = self.choose_worker(ask, now, FIRST_BEARABLE)
         if worker is not None:
             return self._grant(ask, worker, now)
         return self._enqueue(ask, sender, now)
@@ -202,7 +213,7 @@
             return self._refuse(ask, Reason.OVERLOAD, self._spread(wait))
         self.counter += 1
         order = (ask.priority, now + ask.left, self.counter)
-        waiting = Waiting(order, ask, sender, now + hold)
+        waiting = Waiting(order, ask, sender, now, now + hold)
         bisect.insort(self.queue, waiting)
         return messages.Queued(ask.ask_id)
 
@@ -221,7 +232,7 @@
         if not slots:
             return ask.target
         order = (ask.priority, now + ask.left, self.counter + 1)
-        ahead = bisect.bisect(self.queue, Waiting(order, ask, None, 0.0))
+        ahead = bisect.bisect(self.queue, Waiting(order, ask, None, now, now))
         mean = self._find_latency(ask.route, ask.target).mean
         return (ahead + 1) * mean / slots
 
@@ -232,14 +243,20 @@
             latency = self.latencies[route] = backends.Latency(guess)
         return latency
 
-    def choose_worker(self, ask, now):
-        """Return the worker of least cost with a free slot, or None."""
+    def choose_worker(self, ask, now, bearable=1.0):
+        """Return the worker of least cost with a free slot, or None.
+
+        Work that cannot be repeated takes none of more than the
+        ``bearable`` risk.
+        """
         best, best_cost = None, 0.0
         scouting = self._may_scout(ask, now)
         size = self._find_latency(ask.route, ask.target).size
         for worker in self.workers.values():
             if not self._is_eligible(worker, ask, now):
                 continue
+            if not ask.idempotent and worker.read_risk(now) > bearable:
+                continue
             cost = self._weigh(worker, ask, size, scouting, now)
             if best is None or cost < best_cost:
                 best, best_cost = worker, cost
@@ -295,7 +312,6 @@
             ask.repeats,
             worker,
         )
-        worker.used = True
         worker.flights[ask.ask_id] = flight
         self.flights[ask.ask_id] = flight
 
@@ -390,7 +406,8 @@
         """Return (sender, ask, answer) for the asks whose turn came."""
         answers, left = [], []
         for waiting in self.queue:
-            worker = self.choose_worker(waiting.ask, now)
+            bearable = waiting.find_bearable(now)
+            worker = self.choose_worker(waiting.ask, now, bearable)
             if worker is not None:
                 answer = self._grant(waiting.ask, worker, now)
             elif now >= waiting.expires:
--- /dev/null
+++ b/tests/test_gateway_granting.py
@@ -0,0 +1,75 @@
+"""Granting: placing, queueing and refusing under load and faults."""
+
+from acaciafield.gateway import messages
+from tests import gateway_support as support
+
+
+def grant(desk, ask_id, now, **fields):
+    return desk.decide(support.make_ask(ask_id, **fields), "", now)
+
+
+def fail(desk, ask_id, worker_id, now, ending="failed"):
+    desk.take_report(support.make_report(ask_id, worker_id, ending), now)
+
+
+def teach(desk, now, latency=0.1):
+    """Let a desk know how long requests of the route take."""
+    for number in range(20):
+        ask_id = "teach%d:1" % number
+        granted = grant(desk, ask_id, now)
+        report = support.make_report(
+            ask_id, granted.worker_id, latency=latency
+        )
+        desk.take_report(report, now)
+
+
+def test_order_waits_for_a_sound_worker_while_only_a_risky_one_is_free():
+    desk = support.make_desk(2, slots=1)
+    teach(desk, 0.0)
+    first = grant(desk, "a:1", 1.0, idempotent=False)
+    fail(desk, "a:1", first.worker_id, 1.0)
+    second = grant(desk, "b:1", 1.1, idempotent=False)
+    assert second.worker_id != first.worker_id
+    waiting = grant(desk, "c:1", 1.15, idempotent=False)
+    assert isinstance(waiting, messages.Queued)
+    desk.take_report(support.make_report("b:1", second.worker_id), 1.2)
+    ((_, _, answer),) = desk.dispatch(1.2)
+    assert answer.worker_id == second.worker_id
+
+
+def test_order_takes_a_risky_worker_before_its_wait_is_over():
+    desk = support.make_desk(2, slots=1)
+    teach(desk, 0.0)
+    first = grant(desk, "a:1", 1.0, idempotent=False)
+    fail(desk, "a:1", first.worker_id, 1.0)
+    grant(desk, "b:1", 1.1, idempotent=False)
+    grant(desk, "c:1", 1.15, idempotent=False)
+    answers = []
+    now = 1.15
+    while not answers and now < 5.0:
+        now += 0.02
+        answers = desk.dispatch(now)
+    assert answers[0][2].worker_id == first.worker_id
+    assert now < 1.15 + 0.5
+
+
+def test_long_request_beside_good_answers_does_not_look_stuck():
+    desk = support.make_desk(1, slots=6)
+    teach(desk, 0.0)
+    grant(desk, "long:1", 1.0)
+    for number in range(8):
+        now = 1.0 + number * 0.1
+        granted = grant(desk, "s%d:1" % number, now)
+        report = support.make_report("s%d:1" % number, granted.worker_id)
+        desk.take_report(report, now + 0.1)
+    worker = desk.workers["w1"]
+    assert worker.estimate_hang(desk.latencies, 1.9) < 0.2
+
+
+def test_worker_that_answers_nothing_looks_stuck():
+    desk = support.make_desk(1, slots=6)
+    teach(desk, 0.0)
+    for number in range(3):
+        grant(desk, "h%d:1" % number, 1.0 + number * 0.1)
+    worker = desk.workers["w1"]
+    assert worker.estimate_hang(desk.latencies, 1.9) > 0.5
