--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -21,8 +21,8 @@
 class WorkerEntry(structs.Struct):
     """What a worker says of itself in the platform's store.
 
-    ``born`` is the Unix millisecond of its start; ``warm_up`` the
-    seconds for which it stays slow.
+    ``born`` is the Unix millisecond of its start and ``sequence`` counts
+    its writings since; ``warm_up`` the seconds for which it stays slow.
     """
 
     __slots__ = (
@@ -34,8 +34,21 @@
         "draining",
         "warm_up",
         "born",
+        "sequence",
     )
 
+    @property
+    def age(self):
+        """The order of a worker's writings."""
+        return (self.born, self.sequence)
+
+    def says_same(self, other):
+        """Tell whether another entry differs in its sequence at most."""
+        return all(
+            getattr(self, name) == getattr(other, name)
+            for name in self.__slots__[:-1]
+        )
+
 
 class Latency:
     """Moving mean of latency (seconds) and size (bytes) of a route."""
--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -190,6 +190,13 @@
             return None
         return round(now - self.store_at, 2)
 
+    def take_terms(self, terms):
+        """Take in the operator's changed bounds."""
+        self.terms = terms
+        for desk in self.desks.values():
+            desk.budget.ratio = terms.ratio
+            desk.budget.slack = terms.slack
+
     def dump_knowledge(self, now):
         """Return what the desks know, for another coordinator."""
         return {name: desk.dump(now) for name, desk in self.desks.items()}
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -35,6 +35,9 @@
 LEAST_HEDGE = 0.05  # seconds
 GIVEN_UP_MEANS = 4.0  # mean latencies after which giving up is evidence
 GIVEN_UP_WEIGHT = 0.5  # of a failure, as the request may have been long
+# A caller may send a crashing request again and again, beside others'
+# requests; its innocent twin is let through again after a while.
+CRASH_TERMS = quarantine.Terms(alone=2, together=3, time=15.0, growth=3.0)
 MOST_WAITING = 2000  # requests in one queue
 
 
@@ -109,7 +112,7 @@
         self.budget = budgets.WindowBudget(
             terms.ratio, terms.slack, terms.window
         )
-        self.quarantine = quarantine.Quarantine()
+        self.quarantine = quarantine.Quarantine(CRASH_TERMS)
         self.random = random
         self.counter = 0
         self.flights = {}
--- a/packages/daemon/acaciafield_daemon/gateway/feeds.py
+++ b/packages/daemon/acaciafield_daemon/gateway/feeds.py
@@ -10,6 +10,8 @@
 RETRY_PAUSE = 0.25  # seconds after a failed read
 MOST_RETRY_PAUSE = 1.0  # seconds, to which the pause doubles
 AWAY_AFTER = 1.2  # seconds of failed reads that count as an outage
+MOST_REMOVED = 1000  # removed workers whose last writing is remembered
+NEVER = (-1, -1)  # before any writing
 SETTLE_TIME = 2.2  # seconds after an outage in which entries come back
 
 
@@ -67,14 +69,17 @@
     """The workers as the store lists them.
 
     After an outage a missing entry may come back within a moment, so
-    it stays for as long unless the worker was leaving already.
+    it stays for as long unless the worker was leaving already. Records
+    may come late, so those a worker wrote before its newest are passed
+    over.
     """
 
-    __slots__ = ("entries", "absent", "heard_at", "settled_at")
+    __slots__ = ("entries", "absent", "removed", "heard_at", "settled_at")
 
     def __init__(self):
         self.entries = {}
         self.absent = {}
+        self.removed = {}
         self.heard_at = None
         self.settled_at = 0.0
 
@@ -102,17 +107,19 @@
         """Drop absent entries that did not come back; return if any."""
         gone = [w for w, until in self.absent.items() if now >= until]
         for worker_id in gone:
-            del self.absent[worker_id]
-            self.entries.pop(worker_id, None)
+            self._drop(worker_id)
         return bool(gone)
 
     def _put(self, worker_id, entry):
-        self.absent.pop(worker_id, None)
         known = self.entries.get(worker_id)
-        if known is not None and known.born > entry.born:
+        if entry.age <= self.removed.get(worker_id, NEVER):
+            return False
+        if known is not None and entry.age < known.age:
             return False
+        self.absent.pop(worker_id, None)
+        self.removed.pop(worker_id, None)
         self.entries[worker_id] = entry
-        return known != entry
+        return known is None or not entry.says_same(known)
 
     def _remove(self, worker_id, now):
         if worker_id not in self.entries:
@@ -120,10 +127,18 @@
         if now < self.settled_at:
             self.absent.setdefault(worker_id, self.settled_at)
             return False
-        self.absent.pop(worker_id, None)
-        del self.entries[worker_id]
+        self._drop(worker_id)
         return True
 
+    def _drop(self, worker_id):
+        self.absent.pop(worker_id, None)
+        entry = self.entries.pop(worker_id, None)
+        if entry is None:
+            return
+        while len(self.removed) >= MOST_REMOVED:
+            del self.removed[next(iter(self.removed))]
+        self.removed[worker_id] = entry.age
+
 
 class Feeds:
     """The reading tasks of a node that coordinates."""
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -37,10 +37,11 @@
 class Gateway:
     """One node with its sockets and timers, on one loop."""
 
-    def __init__(self, options, store):
+    def __init__(self, options, store, read_options):
         loop = asyncio.get_running_loop()
         self.options = options
         self.store = store
+        self.read_options = read_options
         self.clock = loop.time
         self.loop = loop
         self.raw_configuration = None
@@ -86,7 +87,7 @@
         """Serve until told to stop, then finish what is in hand."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stopping.set)
-        self.loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.log.open()
         self.log.write("start", ip=self.options.ip, zone=self.options.zone)
         async with contextlib.AsyncExitStack() as stack:
@@ -393,8 +394,21 @@
         self.log.flush()
         self.loop.call_later(decisions.FLUSH_PERIOD, self._flush_log)
 
-    def _note_reload(self):
-        self.log.write("reload", found="nothing that a running node changes")
+    def _reload(self):
+        """Take in the bounds of a changed settings file.
+
+        Addresses and ports stay as they are until the next start.
+        """
+        result = self.read_options()
+        if result.is_error():
+            self.log.write("reload", findings=result.error)
+            return
+        found = result.ok
+        self.options.terms = found.terms
+        self.options.grace = found.grace
+        self.options.most_validity = found.most_validity
+        self.state.take_terms(found.terms)
+        self.log.write("reload", terms=repr(found.terms), grace=found.grace)
 
     # Stop
 
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -21,6 +21,7 @@
         "draining": False,
         "warm_up": 0.0,
         "born": 1,
+        "sequence": 1,
     }
     return backends.WorkerEntry(**(values | fields))
 
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -73,3 +73,51 @@
         grant(desk, "h%d:1" % number, 1.0 + number * 0.1)
     worker = desk.workers["w1"]
     assert worker.estimate_hang(desk.latencies, 1.9) > 0.5
+
+
+def crash(desk, number, now, worker_id="w1"):
+    report = support.make_report(
+        "c%d:1" % number, worker_id, "reset", fingerprint="bad"
+    )
+    desk.take_report(report, now)
+
+
+def ask_bad(desk, number, now):
+    return grant(desk, "c%d:1" % number, now, fingerprint="bad")
+
+
+def test_request_that_crashed_three_workers_among_others_is_refused():
+    desk = support.make_desk(1, slots=8)
+    for number in range(3):
+        now = float(number)
+        granted = ask_bad(desk, number, now)
+        assert isinstance(granted, messages.Grant)
+        desk.decide(
+            support.make_ask("beside%d:1" % number, left=60.0), "", now
+        )
+        crash(desk, number, now + 0.1, granted.worker_id)
+    assert ask_bad(desk, 9, 4.0).reason == "quarantined"
+
+
+def test_quarantine_is_tried_again_ever_more_rarely():
+    desk = support.make_desk(4, slots=4)
+    passed, now = 0, 0.0
+    while now < 120.0:
+        answer = ask_bad(desk, int(now * 10), now)
+        if isinstance(answer, messages.Grant):
+            passed += 1
+            crash(desk, int(now * 10), now + 0.05, answer.worker_id)
+        now += 0.5
+    assert passed <= 2 + 3
+
+
+def test_innocent_request_is_not_refused_for_long():
+    desk = support.make_desk(4, slots=4)
+    for number in range(2):
+        granted = ask_bad(desk, number, 1.0)
+        crash(desk, number, 1.1, granted.worker_id)
+    assert ask_bad(desk, 8, 2.0).reason == "quarantined"
+    granted = ask_bad(desk, 9, 25.0)
+    report = support.make_report("c9:1", granted.worker_id, fingerprint="bad")
+    desk.take_report(report, 25.1)
+    assert isinstance(ask_bad(desk, 10, 25.2), messages.Grant)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,236 @@
+"""The adapter: settings, documents and the store's answers."""
+
+import asyncio
+import importlib
+import pathlib
+import platform
+import sys
+
+import orjson
+import pytest
+
+from acaciafield.gateway import backends
+from acaciafield.gateway import routes
+from acaciafield_daemon.gateway import feeds
+from acaciafield_platform import documents
+from acaciafield_platform import settings
+from acaciafield_platform import store as stores
+from standins import store as stand_in
+
+Stream = feeds.Stream
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+WORKER = {
+    "service": "orders",
+    "address": "10.1.0.9:8080",
+    "zone": "za",
+    "version": "v1",
+    "maxConcurrency": 6,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "sequence": 4,
+    "born": 17,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": {
+        "columns": [
+            "name",
+            "hostname",
+            "pathPrefix",
+            "kind",
+            "timeoutMs",
+            "targetLatencyMs",
+            "priority",
+            "service",
+            "maxAttempts",
+            "trafficSplit",
+        ],
+        "rows": [
+            ["r1", "A.example", "/a/", "unsafe", 5000, 2000, 1, "s1", 2, None],
+            [
+                "r2",
+                "b.example",
+                "/b/",
+                "safe",
+                4000,
+                2000,
+                2,
+                None,
+                2,
+                [
+                    {"service": "s1", "weight": 90},
+                    {"service": "s2", "weight": 10},
+                ],
+            ],
+        ],
+    },
+    "services": {
+        "columns": ["name", "healthCheckPath", "maxConnections"],
+        "rows": [["s1", "/healthz", 360], ["s2", "/healthz", None]],
+    },
+    "limits": {"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+}
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 10.0))
+
+
+def test_folder_does_not_shadow_the_standard_module():
+    assert not (ROOT / "platform" / "__init__.py").exists()
+    found = importlib.import_module("platform")
+    assert found is platform
+    assert found.python_implementation() == "CPython"
+    assert str(ROOT) not in found.__file__
+    names = {path.stem for path in (ROOT / "platform").iterdir()}
+    assert not names & set(sys.stdlib_module_names)
+
+
+def test_worker_is_decoded_into_the_words_of_the_project():
+    entry = documents.decode_worker("i-1", orjson.dumps(WORKER))
+    assert entry == backends.WorkerEntry(
+        "i-1", "orders", "10.1.0.9:8080", "za", 6, False, 1.5, 17, 4
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "sleeping"},
+        {"address": 7},
+        {"address": "10.1.0.9"},
+        {"service": None},
+        {"zone": ["za"]},
+        {"maxConcurrency": "6"},
+        {"maxConcurrency": True},
+        {"maxConcurrency": 0},
+    ],
+)
+def test_entry_of_another_writer_names_no_worker(change):
+    assert documents.decode_worker("i", orjson.dumps(WORKER | change)) is None
+
+
+@pytest.mark.parametrize("raw", [b"\xff\x00", b"[]", b"7", b"", None])
+def test_unreadable_entry_names_no_worker(raw):
+    assert documents.decode_worker("i", raw) is None
+
+
+def test_configuration_is_decoded_with_omitted_values():
+    found = documents.decode_configuration(orjson.dumps(CONFIGURATION))
+    assert found.version == 7
+    first = found.find_route("a.example:80", "/a/x")
+    assert (first.kind, first.timeout) == (routes.Kind.UNSAFE, 5.0)
+    assert first.split == [("s1", 1)]
+    second = found.find_route("b.example", "/b/")
+    assert second.split == [("s1", 90), ("s2", 10)]
+    assert found.limits.body_size == 1000
+    assert found.limits.header_size == documents.DEFAULT_HEAD
+
+
+@pytest.mark.parametrize("raw", [b"", b"{}", b'{"version":1,"routes":3}'])
+def test_unreadable_configuration_is_none(raw):
+    assert documents.decode_configuration(raw) is None
+
+
+def test_settings_are_read_and_findings_come_together(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(
+        '[self]\nnodeName = "n"\nip = "10.0.0.1"\nzone = "za"\n'
+        "[self.limits]\ncpuShare = 0.5\ncpuCores = 2\n"
+        '[network]\ninternalPorts = [7000, 7010]\nseeds = ["10.0.0.2:9"]\n'
+        '[network.listen]\nfront = "10.0.0.1:80"\n'
+        '[provider.provider]\naddress = "10.9.0.1:1"\n'
+        "[terms.bounds]\nretryBudgetSlack = 60\nretryBudgetRatio = 0.1\n"
+    )
+    options, platform_ = settings.read_settings(str(path)).ok
+    assert (options.front_port, options.peer_port) == (80, 7000)
+    assert options.weight == 1.0
+    assert options.seed_ips == ["10.0.0.2"]
+    assert (options.terms.slack, options.terms.ratio) == (60.0, 0.1)
+    assert platform_.store_address == "10.9.0.1:1"
+    path.write_text('[self]\nip = 4\nzone = "za"\n')
+    findings = settings.read_settings(str(path)).error
+    assert len(findings) == 3
+    assert all(str(path) in finding for finding in findings)
+
+
+async def open_and(steps):
+    server = stand_in.StoreServer()
+    async with server.open():
+        client = stores.Store(server.address)
+        async with client.open():
+            return await steps(server, client)
+
+
+def test_store_is_read_from_the_newest_and_then_by_changes():
+    async def steps(server, client):
+        server.put("keyed.servers", "i-1", WORKER)
+        server.put("keyed.servers", "i-2", WORKER)
+        server.put("keyed.servers", "i-1", None)
+        follower = feeds.Follower(client, Stream.WORKERS)
+        changes, whole = await follower.read(0.0)
+        assert whole
+        assert [key for key, _ in changes.records] == ["i-2"]
+        server.put("keyed.servers", "i-2", None)
+        changes, whole = await follower.read(0.0)
+        assert not whole
+        assert changes.records == [("i-2", None)]
+
+    run(open_and(steps))
+
+
+def test_dropped_history_leads_to_the_newest_records():
+    async def steps(server, client):
+        server.put("keyed.servers", "i-1", WORKER)
+        follower = feeds.Follower(client, Stream.WORKERS)
+        await follower.read(0.0)
+        server.put("keyed.servers", "i-2", WORKER)
+        server.forget_history("keyed.servers")
+        changes, whole = await follower.read(0.0)
+        assert whole
+        assert sorted(key for key, _ in changes.records) == ["i-1", "i-2"]
+
+    run(open_and(steps))
+
+
+@pytest.mark.parametrize("fault", ["busy", "silent", "cut"])
+def test_bad_answers_of_the_store_are_errors(fault):
+    async def steps(server, client):
+        server.put("keyed.servers", "i-1", WORKER)
+        follower = feeds.Follower(client, Stream.WORKERS)
+        await follower.read(0.0)
+        server.put("keyed.servers", "i-2", WORKER)
+        server.fault = fault
+        with pytest.raises(feeds.StoreError):
+            await follower.read(0.0)
+        server.fault = None
+        changes, _ = await follower.read(0.0)
+        assert [key for key, _ in changes.records] == ["i-2"]
+
+    run(open_and(steps))
+
+
+def test_only_the_configuration_key_is_a_configuration():
+    async def steps(server, client):
+        server.put("keyed.op", "other", {})
+        server.put("keyed.op", "config", CONFIGURATION)
+        changes = await client.read_newest(Stream.CONFIGURATION)
+        assert [key for key, _ in changes.records] == ["config"]
+
+    run(open_and(steps))
+
+
+def test_own_record_is_read_back_as_a_member():
+    from tests import gateway_support as support
+
+    async def steps(server, client):
+        member = support.make_member("n1")
+        await client.write_member(member)
+        server.put("keyed.status", "n2", b"junk")
+        server.put("keyed.status", "n3", member.as_row())
+        changes = await client.read_newest(Stream.MEMBERS)
+        found = [client.decode_member(k, v) for k, v in changes.records]
+        assert found == [member, None, None]
+
+    run(open_and(steps))
