--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -111,7 +111,7 @@
         configuration = self.configuration
         if configuration is None:
             return self._refuse(request_id, "unready", UNREADY_RETRY)
-        target = request.message.path
+        target = request.raw_path
         path = target.split("?", 1)[0]
         route = configuration.find_route(request.headers.get("Host", ""), path)
         if route is None:
@@ -426,7 +426,7 @@
     for part in (
         request.method,
         request.headers.get("Host", ""),
-        request.message.path,
+        request.raw_path,
         request.remote or "",
     ):
         digest.update(part.encode())
--- /dev/null
+++ b/tests/test_gateway_node.py
@@ -0,0 +1,362 @@
+"""One node of the gateway with stand-ins of store and workers."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+
+import aiohttp
+from aiohttp import web
+import expression
+
+from acaciafield_daemon.gateway import gateway
+from acaciafield_daemon.gateway import options as gateway_options
+from acaciafield_platform import settings
+from acaciafield_platform import store as stores
+from standins import store as stand_in
+from tests import gateway_support as support
+from tests import test_platform
+
+HOST = {"Host": "a.example", "Acaciafield-Deadline-Ms": "2000"}
+
+
+def find_ports(count):
+    """Return free ports of the loopback address."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def make_options(**fields):
+    """Return Options of a node on free ports."""
+    front, ready, directory, peer, metrics = find_ports(5)
+    values = {
+        "name": "n1",
+        "ip": "127.0.0.1",
+        "zone": "za",
+        "weight": 1.0,
+        "front_port": front,
+        "ready_port": ready,
+        "directory_port": directory,
+        "peer_port": peer,
+        "metrics_port": metrics,
+        "seed_ips": [],
+        "terms": support.TERMS,
+        "grace": 2.0,
+        "most_validity": 5.0,
+        "headers": settings.HEADERS,
+        "paths": settings.PATHS,
+    }
+    return gateway_options.Options(**(values | fields))
+
+
+class Worker:
+    """A worker that answers by a list of steps, then well."""
+
+    def __init__(self):
+        self.seen = []
+        self.steps = []
+        self.delay = 0.0
+        self.address = None
+
+    @contextlib.asynccontextmanager
+    async def open(self):
+        """Serve on a free port."""
+        server = web.Server(self._answer)
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        self.address = "127.0.0.1:%d" % port
+        try:
+            yield self
+        finally:
+            listener.close()
+            await server.shutdown(0.1)
+
+    async def _answer(self, request):
+        request_id = request.headers["Acaciafield-Request-Id"]
+        self.seen.append(request_id)
+        await asyncio.sleep(self.delay)
+        status = self.steps.pop(0) if self.steps else 200
+        headers = {"Acaciafield-Request-Id": request_id}
+        if status == 503:
+            headers["Acaciafield-Not-Executed"] = "1"
+        else:
+            headers["Acaciafield-Upstream-Signature"] = "s"
+        if status == 0:
+            request.transport.abort()
+        body = await request.read()
+        return web.Response(status=status or 500, headers=headers, body=body)
+
+
+class Rig:
+    """A node, its store, its workers and a caller."""
+
+    def __init__(self, node, server, workers, session):
+        self.node = node
+        self.server = server
+        self.workers = workers
+        self.session = session
+        self.count = 0
+
+    async def call(self, method="GET", path="/b/x", host="b.example", **kw):
+        """Send a request to the node; return status and headers."""
+        self.count += 1
+        headers = {
+            "Host": host,
+            "Acaciafield-Request-Id": "q%d" % self.count,
+            "Acaciafield-Deadline-Ms": "2000",
+        }
+        url = "http://127.0.0.1:%d%s" % (self.node.options.front_port, path)
+        async with self.session.request(
+            method, url, headers=headers, **kw
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def get(self, port, path):
+        """Return the status and body of one of the node's own pages."""
+        url = "http://127.0.0.1:%d%s" % (port, path)
+        async with self.session.get(url) as response:
+            return response.status, await response.read()
+
+    async def wait_ready(self):
+        """Wait until the node grants workers."""
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                port = self.node.options.ready_port
+                status, _ = await self.get(port, "/-/readyz")
+                if status == 200 and self.node.state.entries:
+                    return
+            await asyncio.sleep(0.02)
+
+    @property
+    def seen(self):
+        """What reached the workers."""
+        return [seen for worker in self.workers for seen in worker.seen]
+
+
+def play(steps, options=None, configuration=test_platform.CONFIGURATION):
+    """Run steps against a node with two workers."""
+
+    async def run():
+        options_ = options or make_options()
+        async with contextlib.AsyncExitStack() as stack:
+            server = await stack.enter_async_context(
+                stand_in.StoreServer().open()
+            )
+            workers = [
+                await stack.enter_async_context(Worker().open())
+                for _ in range(2)
+            ]
+            for number, worker in enumerate(workers):
+                for service in ("s1", "s2"):
+                    row = test_platform.WORKER | {
+                        "service": service,
+                        "address": worker.address,
+                    }
+                    name = "i-%s-%d" % (service, number)
+                    server.put("keyed.servers", name, row)
+            if configuration is not None:
+                server.put("keyed.op", "config", configuration)
+            session = await stack.enter_async_context(aiohttp.ClientSession())
+            node = gateway.Gateway(
+                options_,
+                stores.Store(server.address),
+                lambda: expression.Ok(make_options(grace=9.0)),
+            )
+            node.log.descriptor = os.open(os.devnull, os.O_WRONLY)
+            task = asyncio.ensure_future(node.run())
+            rig = Rig(node, server, workers, session)
+            try:
+                if configuration is not None:
+                    await rig.wait_ready()
+                await steps(rig)
+            finally:
+                node.stopping.set()
+                await task
+                os.close(node.log.descriptor)
+
+    asyncio.run(asyncio.wait_for(run(), 20.0))
+
+
+def test_request_is_passed_on_and_answered_whole():
+    async def steps(rig):
+        status, headers, body = await rig.call(
+            "POST", "/a/x", "a.example", data=b"order"
+        )
+        assert (status, body) == (200, b"order")
+        assert headers["Acaciafield-Request-Id"] == "q1"
+        assert headers["Acaciafield-Upstream-Signature"] == "s"
+        assert rig.seen == ["q1"]
+
+    play(steps)
+
+
+def test_safe_request_is_repeated_after_a_failure():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.steps = [500]
+        rig.workers[1].steps = []
+        for _ in range(6):
+            status, _, _ = await rig.call()
+            assert status == 200
+        assert len(rig.seen) == 7
+
+    play(steps)
+
+
+def test_order_that_may_have_run_is_not_repeated():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.steps = [0]
+        status, headers, _ = await rig.call("POST", "/a/x", "a.example")
+        assert status == 502
+        assert "Acaciafield-Upstream-Signature" not in headers
+        assert len(rig.seen) == 1
+
+    play(steps)
+
+
+def test_order_that_was_not_run_goes_to_another_worker():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.steps = [503]
+        rig.workers[0].steps = []
+        for _ in range(4):
+            status, _, _ = await rig.call("POST", "/a/x", "a.example")
+            assert status == 200
+
+    play(steps)
+
+
+def test_order_refused_by_all_is_told_to_come_back():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.steps = [503] * 9
+        status, headers, _ = await rig.call("POST", "/a/x", "a.example")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0.0
+
+    play(steps)
+
+
+def test_workers_own_failure_is_passed_on_unchanged():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.steps = [500] * 9
+        status, headers, body = await rig.call(
+            "POST", "/a/x", "a.example", data=b"z"
+        )
+        assert (status, body) == (500, b"z")
+        assert headers["Acaciafield-Upstream-Signature"] == "s"
+
+    play(steps)
+
+
+def test_unknown_route_is_404_and_large_body_413():
+    async def steps(rig):
+        status, _, _ = await rig.call(path="/none/")
+        assert status == 404
+        status, _, _ = await rig.call("POST", data=b"x" * 2000)
+        assert status == 413
+        assert rig.seen == []
+
+    play(steps)
+
+
+def test_node_without_a_configuration_answers_503():
+    async def steps(rig):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                status, headers, _ = await rig.call()
+                break
+            await asyncio.sleep(0.02)
+        assert status == 503
+        assert "Retry-After" in headers
+        port = rig.node.options.ready_port
+        assert (await rig.get(port, "/-/readyz"))[0] == 503
+
+    play(steps, configuration=None)
+
+
+def test_newer_configuration_is_taken_and_an_older_one_is_not():
+    async def steps(rig):
+        version = rig.node.entry.configuration.version
+        newer = test_platform.CONFIGURATION | {"version": version + 5}
+        rig.server.put("keyed.op", "config", newer)
+        while rig.node.entry.configuration.version == version:
+            await asyncio.sleep(0.02)
+        older = test_platform.CONFIGURATION | {"version": version + 1}
+        rig.server.put("keyed.op", "config", older)
+        latest = test_platform.CONFIGURATION | {"version": version + 6}
+        rig.server.put("keyed.op", "config", latest)
+        while rig.node.entry.configuration.version < version + 6:
+            assert rig.node.entry.configuration.version == version + 5
+            await asyncio.sleep(0.01)
+
+    play(steps)
+
+
+def test_directory_and_metrics_are_served():
+    async def steps(rig):
+        await rig.call()
+        options = rig.node.options
+        while not rig.node.state.view.members["n1"].ready:
+            await asyncio.sleep(0.02)
+        status, body = await rig.get(
+            options.directory_port, "/-/resolve?name=x&zone=za"
+        )
+        assert status == 200
+        assert ("127.0.0.1:%d" % options.front_port).encode() in body
+        status, body = await rig.get(options.metrics_port, "/metrics")
+        assert b'acaciafield_requests_total{outcome="passed"' in body
+        assert b"acaciafield_latency_seconds" in body
+
+    play(steps)
+
+
+def test_stop_finishes_what_is_in_hand():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.delay = 0.6
+        running = asyncio.ensure_future(rig.call())
+        while not rig.seen:
+            await asyncio.sleep(0.01)
+        os.kill(os.getpid(), signal.SIGTERM)
+        status, headers, _ = await running
+        assert status == 200
+        assert headers["Connection"] == "close"
+        port = rig.node.options.ready_port
+        assert (await rig.get(port, "/-/readyz"))[0] == 503
+
+    play(steps)
+
+
+def test_reload_takes_in_changed_bounds():
+    async def steps(rig):
+        os.kill(os.getpid(), signal.SIGHUP)
+        while rig.node.options.grace != 9.0:
+            await asyncio.sleep(0.01)
+        rig.node.options.grace = 2.0
+
+    play(steps)
+
+
+def test_caller_that_leaves_frees_its_worker():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.delay = 5.0
+        running = asyncio.ensure_future(rig.call())
+        while not rig.seen:
+            await asyncio.sleep(0.01)
+        running.cancel()
+        desks = rig.node.state.desks
+        while any(desk.flights for desk in desks.values()):
+            await asyncio.sleep(0.01)
+
+    play(steps)
