Be ready only while workers can be granted

A node that hears no coordinator and holds no list of workers refused all it took. It now leaves the addresses. Found by reading; test failed first.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -16,6 +16,7 @@
 DUTY_TIME = 3.0  # seconds that a node coordinates after it was asked to
 SWEEP_PERIOD = 1.0  # seconds between sweeps of lost reports
 DISPATCH_PERIOD = 0.02  # seconds between looks at queues that wait
+UNANSWERED_TIME = 2.5  # seconds without coordinators that end readiness
 ALONE_AFTER = 1.0  # seconds without a coordinator before a node acts alone
 
 
@@ -201,6 +202,14 @@
         """Return what the desks know, for another coordinator."""
         return {name: desk.dump(now) for name, desk in self.desks.items()}
 
+    def is_serving(self, now):
+        """Tell whether callers' requests can be given workers here."""
+        if not self.ready or self.leaving:
+            return False
+        if self.entries is not None:
+            return True
+        return now - self.answered_at < UNANSWERED_TIME
+
     def next_due(self):
         """Return when a tick is needed next, in seconds, or None."""
         return self.timers.next_due()
@@ -359,7 +368,7 @@
             own.ip,
             own.zone,
             own.weight,
-            state.ready,
+            state.is_serving(now),
             state.leaving,
             state.config_version,
             state.view.digest,
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -352,7 +352,7 @@
     def _is_ready(self):
         if self.stopping.is_set():
             return False
-        return self.state.ready
+        return self.state.is_serving(self.clock())
 
     async def _answer_resolve(self, request):
         zone = request.query.get("zone", "")
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -158,3 +158,16 @@
     )
     grant = support.pick(effects, coordination.Send)[0].message
     assert grant.worker_id != bad
+
+
+def test_node_that_hears_nobody_is_not_ready_until_it_can_serve_alone():
+    state = support.make_state("n1")
+    state.start(10.0)
+    state.ready = True
+    assert state.is_serving(11.0)
+    assert not state.is_serving(13.0)
+    entries = [support.make_entry("w1")]
+    coordination.reduce_event(state, coordination.WorkersRead(13.1, entries))
+    assert state.is_serving(13.2)
+    coordination.reduce_event(state, coordination.StopAsked(14.0))
+    assert not state.is_serving(14.0)
