--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -488,6 +488,8 @@
 
 
 def _answer_ask(answer, ask, state, sender, out):
+    if isinstance(answer, messages.Grant):
+        answer.granter = state.own.name
     _send(state, sender, answer, out)
     if isinstance(answer, messages.Queued):
         return
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -38,6 +38,7 @@
 # A caller may send a crashing request again and again, beside others'
 # requests; its innocent twin is let through again after a while.
 CRASH_TERMS = quarantine.Terms(alone=2, together=3, time=15.0, growth=3.0)
+LOAD_DELAY = 0.25  # seconds within which a grant may not have arrived
 MOST_WAITING = 2000  # requests in one queue
 
 
@@ -213,6 +214,9 @@
         hold -= 0.0 if ask.repeats else 0.01
         wait = self.estimate_wait(ask, now)
         if ask.repeats or wait > hold or len(self.queue) >= MOST_WAITING:
+            worker = self.choose_worker(ask, now)
+            if worker is not None:
+                return self._grant(ask, worker, now)
             return self._refuse(ask, Reason.OVERLOAD, self._spread(wait))
         self.counter += 1
         order = (ask.priority, now + ask.left, self.counter)
@@ -367,8 +371,30 @@
         if worker is None:
             return
         alone = not worker.flights
+        if report.load is not None:
+            self._drop_lost(worker, report.load, now)
         self._judge(worker, report, alone, now)
 
+    def _drop_lost(self, worker, load, now):
+        """Drop the oldest flights beyond what the worker says it has.
+
+        Their reports were lost on the way, or with the node that ran
+        them. The answer just reported still counts in the load.
+        """
+        running, waiting, _ = load
+        old = [
+            flight
+            for flight in worker.flights.values()
+            if now - flight.started > LOAD_DELAY
+        ]
+        excess = len(old) - max(0, running + waiting - 1)
+        if excess <= 0:
+            return
+        old.sort(key=lambda flight: flight.started)
+        for flight in old[:excess]:
+            del worker.flights[flight.ask_id]
+            self.flights.pop(flight.ask_id, None)
+
     def _judge(self, worker, report, alone, now):
         ending = Ending(report.ending)
         started = now - report.latency
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -36,11 +36,12 @@
     """A coordinator gives a worker to an ask.
 
     ``hedge_after`` is the latency after which a second attempt is
-    likely to finish first.
+    likely to finish first; ``granter`` the coordinator's name.
     """
 
     KIND = 2
-    __slots__ = ("ask_id", "worker_id", "address", "hedge_after")
+    __slots__ = ("ask_id", "worker_id", "address", "hedge_after", "granter")
+    DEFAULTS = {"granter": ""}
 
 
 class Queued(structs.Struct):
--- a/packages/daemon/acaciafield_daemon/gateway/asking.py
+++ b/packages/daemon/acaciafield_daemon/gateway/asking.py
@@ -108,11 +108,14 @@
         message = messages.Withdrawal(ask.service, ask.ask_id)
         self.tell_coordinators(message)
 
-    def tell_coordinators(self, message):
-        """Send a message to the coordinator of every zone."""
+    def tell_coordinators(self, message, granter=None):
+        """Send a message to the granter and each zone's coordinator."""
         now = self.clock()
         view = self.state.view
+        names = {granter} if granter else set()
         for zone in view.list_zones():
             contact = view.find_coordinator(zone, now)
             if contact is not None:
-                self.send(contact.member.name, message)
+                names.add(contact.member.name)
+        for name in sorted(names):
+            self.send(name, message)
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -424,6 +424,7 @@
         end = began + self.options.grace - EXIT_SLACK
         await self._close_connections(end)
         await asyncio.sleep(STOP_PAUSE)
+        self.feeds.set_active(False)
 
     async def _close_connections(self, end):
         """Close idle connections and the others after their answers.
@@ -431,14 +432,10 @@
         A connection may still be accepted while the listener closes, so
         new ones are looked for until none is left.
         """
-        closing = {}
-        while self.clock() < end:
+        while self._front.connections and self.clock() < end:
             for handler in self._front.connections:
-                if handler not in closing:
-                    left = max(0.0, end - self.clock())
-                    closing[handler] = asyncio.ensure_future(
-                        handler.shutdown(left)
-                    )
+                handler.close()
+                # aiohttp has no public sign of an idle connection.
+                if not handler._request_in_progress:
+                    handler.force_close()
             await asyncio.sleep(STOP_PAUSE)
-            if not self._front.connections:
-                return
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -121,3 +121,40 @@
     report = support.make_report("c9:1", granted.worker_id, fingerprint="bad")
     desk.take_report(report, 25.1)
     assert isinstance(ask_bad(desk, 10, 25.2), messages.Grant)
+
+
+def test_request_is_not_refused_while_a_risky_worker_is_free():
+    desk = support.make_desk(3, slots=1)
+    teach(desk, 0.0)
+    for number in range(3):
+        granted = grant(desk, "f%d:1" % number, 1.0)
+        fail(desk, "f%d:1" % number, granted.worker_id, 1.0)
+    answers = [
+        grant(desk, "o%d:1" % number, 1.1, idempotent=False, target=0.4)
+        for number in range(40)
+    ]
+    kinds = [type(answer) for answer in answers]
+    assert kinds.count(messages.Grant) == 3
+    assert messages.Refusal in kinds
+
+
+def test_flights_that_a_worker_no_longer_runs_are_dropped():
+    desk = support.make_desk(1, slots=4)
+    teach(desk, 0.0)
+    for number in range(3):
+        grant(desk, "lost%d:1" % number, 1.0, left=30.0)
+    grant(desk, "a:1", 1.2)
+    report = support.make_report("a:1", "w1", load=[1, 0, 4])
+    desk.take_report(report, 1.5)
+    assert len(desk.workers["w1"].flights) <= 1
+    assert len(desk.flights) <= 1
+
+
+def test_flight_that_just_began_is_kept_whatever_the_load_says():
+    desk = support.make_desk(1, slots=4)
+    teach(desk, 0.0)
+    grant(desk, "a:1", 1.0)
+    grant(desk, "b:1", 1.09)
+    report = support.make_report("a:1", "w1", load=[1, 0, 4])
+    desk.take_report(report, 1.1)
+    assert list(desk.workers["w1"].flights) == ["b:1"]
