--- a/packages/daemon/acaciafield_daemon/gateway/feeds.py
+++ b/packages/daemon/acaciafield_daemon/gateway/feeds.py
@@ -8,11 +8,12 @@
 WORKERS_PERIOD = 0.6  # seconds between reads of changes to workers
 CONFIG_WAIT = 2.0  # seconds that a read of the configuration waits
 RETRY_PAUSE = 0.25  # seconds after a failed read
-MOST_RETRY_PAUSE = 1.0  # seconds, to which the pause doubles
+MOST_RETRY_PAUSE = 0.5  # seconds, to which the pause doubles
 AWAY_AFTER = 1.2  # seconds of failed reads that count as an outage
 MOST_REMOVED = 1000  # removed workers whose last writing is remembered
 NEVER = (-1, -1)  # before any writing
-SETTLE_TIME = 2.2  # seconds after an outage in which entries come back
+SETTLE_TIME = 1.6  # seconds after an outage in which entries come back
+LAPSED_SHARE = 0.34  # of the entries missing at once, as only a lapse does
 
 
 class Stream(enum.Enum):
@@ -68,9 +69,9 @@
 class WorkerTable:
     """The workers as the store lists them.
 
-    After an outage a missing entry may come back within a moment, so
-    it stays for as long unless the worker was leaving already. Records
-    may come late, so those a worker wrote before its newest are passed
+    Entries lapse together while the store is away and come back within
+    a moment of its return, so then they stay for as long. Single ones that
+    are missing have left. Records may come late, so those a worker wrote before its newest are passed
     over.
     """
 
@@ -91,15 +92,21 @@
 
     def apply(self, entries, whole, now):
         """Take in (worker id, WorkerEntry or None); return if changed."""
-        changed = False
+        newest = dict(entries)
+        missing = [w for w, entry in newest.items() if entry is None]
         if whole:
-            listed = {worker_id for worker_id, _ in entries}
-            for worker_id in set(self.entries) - listed:
-                changed |= self._remove(worker_id, now)
-        for worker_id, entry in entries:
-            if entry is None:
-                changed |= self._remove(worker_id, now)
+            missing += [w for w in self.entries if w not in newest]
+        missing = [w for w in missing if w in self.entries]
+        lapsed = len(missing) > LAPSED_SHARE * len(self.entries)
+        lapsed = lapsed and now < self.settled_at
+        changed = False
+        for worker_id in missing:
+            if lapsed:
+                self.absent.setdefault(worker_id, self.settled_at)
             else:
+                changed |= self._drop(worker_id)
+        for worker_id, entry in entries:
+            if entry is not None:
                 changed |= self._put(worker_id, entry)
         return changed
 
@@ -121,23 +128,15 @@
         self.entries[worker_id] = entry
         return known is None or not entry.says_same(known)
 
-    def _remove(self, worker_id, now):
-        if worker_id not in self.entries:
-            return False
-        if now < self.settled_at:
-            self.absent.setdefault(worker_id, self.settled_at)
-            return False
-        self._drop(worker_id)
-        return True
-
     def _drop(self, worker_id):
         self.absent.pop(worker_id, None)
         entry = self.entries.pop(worker_id, None)
         if entry is None:
-            return
+            return False
         while len(self.removed) >= MOST_REMOVED:
             del self.removed[next(iter(self.removed))]
         self.removed[worker_id] = entry.age
+        return True
 
 
 class Feeds:
