--- a/packages/daemon/acaciafield_daemon/gateway/feeds.py
+++ b/packages/daemon/acaciafield_daemon/gateway/feeds.py
@@ -13,7 +13,7 @@
 MOST_REMOVED = 1000  # removed workers whose last writing is remembered
 NEVER = (-1, -1)  # before any writing
 SETTLE_TIME = 1.6  # seconds after an outage in which entries come back
-LAPSED_SHARE = 0.34  # of the entries missing at once, as only a lapse does
+LAPSED_SHARE = 0.34  # of all entries; more missing at once is a lapse
 
 
 class Stream(enum.Enum):
@@ -70,9 +70,9 @@
     """The workers as the store lists them.
 
     Entries lapse together while the store is away and come back within
-    a moment of its return, so then they stay for as long. Single ones that
-    are missing have left. Records may come late, so those a worker wrote before its newest are passed
-    over.
+    a moment of its return, so then they stay for as long. Single ones
+    that are missing have left. Records may come late, so those a worker
+    wrote before its newest are passed over.
     """
 
     __slots__ = ("entries", "absent", "removed", "heard_at", "settled_at")
