--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -39,6 +39,7 @@
 # requests; its innocent twin is let through again after a while.
 CRASH_TERMS = quarantine.Terms(alone=2, together=3, time=15.0, growth=3.0)
 LOAD_DELAY = 0.25  # seconds within which a grant may not have arrived
+IDLE_REFUSAL_WEIGHT = 0.3  # of a failure, as the request can be repeated
 MOST_WAITING = 2000  # requests in one queue
 
 
@@ -404,7 +405,7 @@
             worker.note_good(started, now)
             self.quarantine.add_good(report.fingerprint)
         elif ending in outcomes.REFUSALS:
-            worker.full_until = now + backends.FULL_REST
+            self._judge_refusal(worker, report, now)
         elif ending is Ending.UNREACHED:
             worker.note_bad_path(report.node, now)
         elif ending is Ending.MISDIRECTED:
@@ -417,6 +418,13 @@
             worker.note_failure(now)
             self.quarantine.add_crash(report.fingerprint, alone, now)
 
+    def _judge_refusal(self, worker, report, now):
+        """Rest a full worker; one that refuses while idle is unsound."""
+        if report.load is None or report.load[0] >= report.load[2]:
+            worker.full_until = now + backends.FULL_REST
+            return
+        worker.note_failure(now, IDLE_REFUSAL_WEIGHT)
+
     def _judge_cancelled(self, worker, report, now):
         latency = self.latencies.get(report.route)
         if latency is None or not latency.count:
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -227,7 +227,6 @@
             contact
             for contact in self.list_candidates(zone)[:rank]
             if contact is not chosen
-            and contact.member.name != self.own.name
             and now - (contact.beaten_at or 0.0) >= PROBE_PERIOD
         ]
         found.sort(key=lambda contact: contact.beaten_at or 0.0)
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -171,3 +171,26 @@
     assert state.is_serving(13.2)
     coordination.reduce_event(state, coordination.StopAsked(14.0))
     assert not state.is_serving(14.0)
+
+
+def test_best_candidate_finds_itself_beside_a_fresh_one():
+    names = ["n%d" % number for number in range(1, 6)]
+    probe = support.make_state("n9", zone="zz")
+    for name in names:
+        probe.view.add_candidate(support.make_member(name))
+    ranked = [c.member.name for c in probe.view.list_candidates("za")]
+    state = support.make_state(ranked[0])
+    for name in names:
+        if name != ranked[0]:
+            state.view.add_candidate(support.make_member(name))
+    other = state.view.contacts[ranked[2]]
+    other.note_answer(10.0)
+    other.store_age = 0.1
+    state.start(10.0)
+    coordination.reduce_event(state, coordination.Tick(10.1))
+    state.store_at, state.entries = 10.2, {}
+    for now in (10.7, 11.3, 11.9):
+        other.note_answer(now)
+        coordination.reduce_event(state, coordination.Tick(now))
+    chosen = state.view.find_coordinator("za", 11.95)
+    assert chosen.member.name == ranked[0]
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -158,3 +158,23 @@
     report = support.make_report("a:1", "w1", load=[1, 0, 4])
     desk.take_report(report, 1.1)
     assert list(desk.workers["w1"].flights) == ["b:1"]
+
+
+def test_worker_that_refuses_while_idle_is_not_rested_as_full():
+    desk = support.make_desk(1, slots=4)
+    granted = grant(desk, "a:1", 1.0)
+    report = support.make_report(
+        "a:1", granted.worker_id, "shed", load=[0, 0, 4]
+    )
+    desk.take_report(report, 1.01)
+    assert isinstance(grant(desk, "b:1", 1.02), messages.Grant)
+
+
+def test_worker_that_refuses_as_it_is_full_rests_for_a_moment():
+    desk = support.make_desk(1, slots=4)
+    granted = grant(desk, "a:1", 1.0)
+    report = support.make_report(
+        "a:1", granted.worker_id, "shed", load=[4, 2, 4]
+    )
+    desk.take_report(report, 1.01)
+    assert not isinstance(grant(desk, "b:1", 1.02), messages.Grant)
