--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -11,6 +11,7 @@
 MOST_DECAY = 12.0  # seconds, after failures in a row
 FLIGHT_SLACK = 1.0  # seconds past its deadline that a flight is kept
 PATH_REST = 3.0  # seconds that a path which took no connection is avoided
+MOST_PATH_REST = 12.0  # seconds, to which that doubles
 FULL_REST = 0.25  # seconds that a worker which refused is avoided
 HANG_MEANS = 3.0  # mean latencies after which a request looks stuck
 HANG_PRIOR = 1.0  # good answers that every worker is credited with
@@ -170,19 +171,22 @@
 
     def note_bad_path(self, node, now):
         """Count a connection that the worker did not take in time."""
-        self.bad_paths[node] = now + PATH_REST
-        live = sum(1 for until in self.bad_paths.values() if until > now)
+        known = self.bad_paths.get(node)
+        rest = PATH_REST
+        if known is not None:
+            rest = min(MOST_PATH_REST, 2.0 * known[1])
+        self.bad_paths[node] = (now + rest, rest)
+        live = sum(1 for until, _ in self.bad_paths.values() if until > now)
         self.note_failure(now, 0.3 if live < 2 else 1.0)
 
+    def note_good_path(self, node):
+        """Forget that a node failed to connect."""
+        self.bad_paths.pop(node, None)
+
     def is_path_bad(self, node, now):
         """Tell whether a node failed to connect a short while ago."""
-        until = self.bad_paths.get(node)
-        if until is None:
-            return False
-        if until > now:
-            return True
-        del self.bad_paths[node]
-        return False
+        known = self.bad_paths.get(node)
+        return known is not None and known[0] > now
 
     def drop_expired(self, now):
         """Forget flights whose end was never reported."""
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -398,6 +398,8 @@
 
     def _judge(self, worker, report, alone, now):
         ending = Ending(report.ending)
+        if ending not in (Ending.UNREACHED, Ending.CANCELLED):
+            worker.note_good_path(report.node)
         started = now - report.latency
         if ending is Ending.ANSWERED:
             latency = self._find_latency(report.route, report.latency * 4.0)
--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -49,6 +49,7 @@
         "asked",
         "hedge_after",
         "sent_at",
+        "sent",
     )
 
     def __init__(self, message, route, started, limit, fingerprint):
@@ -65,6 +66,7 @@
         self.asked = 0
         self.hedge_after = None
         self.sent_at = None
+        self.sent = asyncio.Event()
 
 
 class Entry:
@@ -162,16 +164,23 @@
                 task.cancel()
 
     async def _wait(self, call, running):
-        now = self.clock()
-        until = call.limit + LATE_SLACK
-        if self._may_hedge(call, running):
-            until = min(until, call.sent_at + call.hedge_after)
-        done, _ = await asyncio.wait(
-            running,
-            timeout=max(0.0, until - now),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        return done
+        """Wait for an attempt's end, a hedge or the limit."""
+        while True:
+            call.sent.clear()
+            until = call.limit + LATE_SLACK
+            if self._may_hedge(call, running):
+                until = min(until, call.sent_at + call.hedge_after)
+            sent = asyncio.ensure_future(call.sent.wait())
+            done, _ = await asyncio.wait(
+                [*running, sent],
+                timeout=max(0.0, until - self.clock()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            woken = sent in done
+            sent.cancel()
+            done.discard(sent)
+            if done or not woken:
+                return done
 
     def _may_hedge(self, call, running):
         if call.hedge_after is None or not call.route.idempotent:
@@ -236,6 +245,7 @@
         call.avoid.append(grant.worker_id)
         call.sent_at = self.clock()
         call.hedge_after = grant.hedge_after
+        call.sent.set()
         result = upstream.Result(Ending.CANCELLED)
         started = self.clock()
         try:
--- a/packages/daemon/acaciafield_daemon/gateway/upstream.py
+++ b/packages/daemon/acaciafield_daemon/gateway/upstream.py
@@ -20,7 +20,7 @@
 
 Ending = outcomes.Ending
 
-CONNECT_TIMEOUT = 0.3  # seconds; a lost first packet is sent after 1 s
+CONNECT_TIMEOUT = 0.15  # seconds; a lost first packet is sent after 1 s
 USER_TIMEOUT_MS = 3000  # milliseconds that sent bytes may stay unconfirmed
 HELD_BODY = 4_194_304  # bytes of an answer that are held back to be checked
 MOST_HEAD = 65536  # bytes of one line or field of a worker's answer
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -178,3 +178,21 @@
     )
     desk.take_report(report, 1.01)
     assert not isinstance(grant(desk, "b:1", 1.02), messages.Grant)
+
+
+def test_path_that_stays_bad_rests_longer_each_time():
+    desk = support.make_desk(1, slots=4)
+    worker = desk.workers["w1"]
+    rests, now = [], 1.0
+    for _ in range(3):
+        worker.note_bad_path("n1", now)
+        start = now
+        while worker.is_path_bad("n1", now):
+            now += 0.1
+        rests.append(now - start)
+    assert rests[0] < 3.5
+    assert rests[1] > 1.8 * rests[0]
+    assert rests[2] > 1.8 * rests[1]
+    worker.note_good_path("n1")
+    worker.note_bad_path("n1", now)
+    assert not worker.is_path_bad("n1", now + 3.5)
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -377,3 +377,30 @@
         writer.close()
 
     play(steps)
+
+
+def test_safe_request_at_a_silent_worker_is_hedged():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.delay = 30.0
+        running = asyncio.ensure_future(rig.call())
+        while not rig.seen:
+            await asyncio.sleep(0.01)
+        for worker in rig.workers:
+            worker.delay = 0.0
+        status, _, _ = await running
+        assert status == 200
+        assert len(rig.seen) == 2
+
+    play(steps)
+
+
+def test_order_at_a_silent_worker_is_not_sent_again():
+    async def steps(rig):
+        for worker in rig.workers:
+            worker.delay = 30.0
+        status, _, _ = await rig.call("POST", "/a/x", "a.example")
+        assert status == 504
+        assert len(rig.seen) == 1
+
+    play(steps)
