--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -188,12 +188,6 @@
         known = self.bad_paths.get(node)
         return known is not None and known[0] > now
 
-    def drop_expired(self, now):
-        """Forget flights whose end was never reported."""
-        for ask_id, flight in list(self.flights.items()):
-            if now > flight.expires + FLIGHT_SLACK:
-                del self.flights[ask_id]
-
     def estimate_hang(self, latencies, now):
         """Return the risk that what runs here gets no answer.
 
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -276,7 +276,6 @@
             return False
         if worker.is_path_bad(ask.node, now) or now < worker.full_until:
             return False
-        worker.drop_expired(now)
         return len(worker.flights) < entry.slots
 
     def _may_scout(self, ask, now):
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 import time
 
 import aiohttp
 from aiohttp import web
-
 import orjson
 
 from acaciafield.gateway import backends
@@ -187,7 +187,9 @@
                 continue
             try:
                 rows = await self.peers.fetch(ip, "members")
-                await self._fetch(ip, self.state.config_version + 1)
+                await self.fetch_configuration(
+                    ip, self.state.config_version + 1
+                )
                 if rows is not None:
                     self._take_members(
                         [members.Member(*row) for row in orjson.loads(rows)]
@@ -274,19 +276,7 @@
 
     def _apply(self, effects):
         for effect in effects:
-            kind = type(effect)
-            if kind is coordination.Send:
-                self.peers.send(effect.ip, effect.message)
-            elif kind is coordination.Deliver:
-                self.asker.deliver(effect.message)
-            elif kind is coordination.Note:
-                self.log.write(effect.kind, **effect.fields)
-            elif kind is coordination.FollowStore:
-                self.feeds.set_active(effect.active)
-            elif kind is coordination.FetchConfiguration:
-                self._start_fetch(self._fetch(effect.ip, effect.version))
-            elif kind is coordination.FetchWorkers:
-                self._start_fetch(self._fetch_workers(effect.ip))
+            carry_out(effect, self)
         self._arm_timer()
 
     def _arm_timer(self):
@@ -302,7 +292,8 @@
         self._timer = None
         self._feed(coordination.Tick)
 
-    def _start_fetch(self, coroutine):
+    def start_fetch(self, coroutine):
+        """Run a fetch beside the loop's other work, a few at a time."""
         if self._fetching >= MOST_FETCHES:
             coroutine.close()
             return
@@ -313,7 +304,8 @@
     def _end_fetch(self, task):
         self._fetching -= 1
 
-    async def _fetch(self, ip, version):
+    async def fetch_configuration(self, ip, version):
+        """Fetch a configuration that is newer than the one held."""
         known = self.entry.configuration
         if known is not None and known.version >= version:
             return
@@ -321,7 +313,8 @@
         if raw is not None:
             self.take_configuration(raw)
 
-    async def _fetch_workers(self, ip):
+    async def fetch_workers(self, ip):
+        """Fetch the workers and the knowledge of a coordinator."""
         raw = await self._fetch_document(ip, "workers")
         if raw is None:
             return
@@ -439,3 +432,40 @@
                 if not handler._request_in_progress:
                     handler.force_close()
             await asyncio.sleep(STOP_PAUSE)
+
+
+@functools.singledispatch
+def carry_out(effect, gateway):
+    """Do what an effect asks for."""
+    raise TypeError("unknown effect %r" % (effect,))
+
+
+@carry_out.register
+def _send(effect: coordination.Send, gateway):
+    gateway.peers.send(effect.ip, effect.message)
+
+
+@carry_out.register
+def _deliver(effect: coordination.Deliver, gateway):
+    gateway.asker.deliver(effect.message)
+
+
+@carry_out.register
+def _note(effect: coordination.Note, gateway):
+    gateway.log.write(effect.kind, **effect.fields)
+
+
+@carry_out.register
+def _follow_store(effect: coordination.FollowStore, gateway):
+    gateway.feeds.set_active(effect.active)
+
+
+@carry_out.register
+def _fetch_configuration(effect: coordination.FetchConfiguration, gateway):
+    fetch = gateway.fetch_configuration(effect.ip, effect.version)
+    gateway.start_fetch(fetch)
+
+
+@carry_out.register
+def _fetch_workers(effect: coordination.FetchWorkers, gateway):
+    gateway.start_fetch(gateway.fetch_workers(effect.ip))
--- a/packages/daemon/acaciafield_daemon/gateway/options.py
+++ b/packages/daemon/acaciafield_daemon/gateway/options.py
@@ -39,11 +39,4 @@
         "grace",
         "most_validity",
         "headers",
-        "paths",
     )
-
-
-class Paths(structs.Struct):
-    """Paths under which a node answers about itself."""
-
-    __slots__ = ("ready", "resolve")
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -18,8 +18,6 @@
 from tests import gateway_support as support
 from tests import test_platform
 
-HOST = {"Host": "a.example", "Acaciafield-Deadline-Ms": "2000"}
-
 
 def find_ports(count):
     """Return free ports of the loopback address."""
@@ -50,7 +48,6 @@
         "grace": 4.0,
         "most_validity": 5.0,
         "headers": settings.HEADERS,
-        "paths": settings.PATHS,
     }
     return gateway_options.Options(**(values | fields))
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 from acaciafield_platform import settings
 from acaciafield_platform import store as stores
 from standins import store as stand_in
+from tests import gateway_support as support
 
 Stream = feeds.Stream
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -222,8 +223,6 @@
 
 
 def test_own_record_is_read_back_as_a_member():
-    from tests import gateway_support as support
-
     async def steps(server, client):
         member = support.make_member("n1")
         await client.write_member(member)
