--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -7,6 +7,8 @@
 import functools
 import random
 
+from acaciafield.gateway import effects
+from acaciafield.gateway import events
 from acaciafield.gateway import granting
 from acaciafield.gateway import members
 from acaciafield.gateway import messages
@@ -20,94 +22,6 @@
 ALONE_AFTER = 1.0  # seconds without a coordinator before a node acts alone
 
 
-class MessageReceived(structs.Struct):
-    """A message came from ``sender``, an ip or "" for this node."""
-
-    __slots__ = ("now", "sender", "message")
-
-
-class WorkersRead(structs.Struct):
-    """The store's list of workers, as backends.WorkerEntry."""
-
-    __slots__ = ("now", "entries")
-
-
-class WorkersFetched(structs.Struct):
-    """Another coordinator's list of workers, ``age`` seconds old.
-
-    ``knowledge`` maps a service to what granting.Desk.dump returned.
-    """
-
-    __slots__ = ("now", "entries", "age", "knowledge")
-    DEFAULTS = {"knowledge": {}}
-
-
-class StoreHeard(structs.Struct):
-    """The platform's store answered."""
-
-    __slots__ = ("now",)
-
-
-class ConfigurationHeld(structs.Struct):
-    """This node now holds a version of the configuration."""
-
-    __slots__ = ("now", "version")
-
-
-class MembersRead(structs.Struct):
-    """Nodes that the store or the settings name, as members.Member."""
-
-    __slots__ = ("now", "members")
-
-
-class StopAsked(structs.Struct):
-    """The node shall leave."""
-
-    __slots__ = ("now",)
-
-
-class Tick(structs.Struct):
-    """Time passed."""
-
-    __slots__ = ("now",)
-
-
-class Send(structs.Struct):
-    """Send a message to the node at ``ip``."""
-
-    __slots__ = ("ip", "message")
-
-
-class Deliver(structs.Struct):
-    """Hand an answer to the request of this node that waits for it."""
-
-    __slots__ = ("message",)
-
-
-class FetchConfiguration(structs.Struct):
-    """Fetch the configuration from the node at ``ip``."""
-
-    __slots__ = ("ip", "version")
-
-
-class FetchWorkers(structs.Struct):
-    """Fetch the list of workers from the node at ``ip``."""
-
-    __slots__ = ("ip",)
-
-
-class FollowStore(structs.Struct):
-    """Begin or end to follow the store's list of workers."""
-
-    __slots__ = ("active",)
-
-
-class Note(structs.Struct):
-    """A decision for the log; ``fields`` is a dictionary."""
-
-    __slots__ = ("kind", "fields")
-
-
 class BeatTimer(structs.Struct):
     """Heartbeats are due."""
 
@@ -239,24 +153,24 @@
 
 
 @_apply.register
-def _apply_tick(event: Tick, state, now, out):
+def _apply_tick(event: events.Tick, state, now, out):
     for timer in state.timers.pop_due(now):
         _fire(timer, state, now, out)
 
 
 @_apply.register
-def _apply_message(event: MessageReceived, state, now, out):
+def _apply_message(event: events.MessageReceived, state, now, out):
     _receive(event.message, state, event.sender, now, out)
 
 
 @_apply.register
-def _apply_workers(event: WorkersRead, state, now, out):
+def _apply_workers(event: events.WorkersRead, state, now, out):
     state.store_at = now
     _take_entries(event.entries, state, now, out)
 
 
 @_apply.register
-def _apply_fetched(event: WorkersFetched, state, now, out):
+def _apply_fetched(event: events.WorkersFetched, state, now, out):
     state.informed = True
     if state.entries is None:
         state.store_at = now - event.age
@@ -264,7 +178,7 @@
     for service, document in event.knowledge.items():
         state.find_desk(service).load(document, now)
     fields = {"age": event.age, "services": len(event.knowledge)}
-    out.append(Note("workers-fetched", fields))
+    out.append(effects.Note("workers-fetched", fields))
 
 
 def _take_entries(entries, state, now, out):
@@ -282,12 +196,12 @@
 
 
 @_apply.register
-def _apply_store(event: StoreHeard, state, now, out):
+def _apply_store(event: events.StoreHeard, state, now, out):
     state.store_at = now
 
 
 @_apply.register
-def _apply_configuration(event: ConfigurationHeld, state, now, out):
+def _apply_configuration(event: events.ConfigurationHeld, state, now, out):
     if event.version <= state.config_version:
         return
     state.config_version = event.version
@@ -296,34 +210,34 @@
     notice = messages.ConfigNotice(state.own.name, event.version)
     for member, _ in state.registry.table.values():
         if member.name != state.own.name:
-            out.append(Send(member.ip, notice))
+            out.append(effects.Send(member.ip, notice))
 
 
 @_apply.register
-def _apply_members(event: MembersRead, state, now, out):
+def _apply_members(event: events.MembersRead, state, now, out):
     for member in event.members:
         state.view.add_candidate(member)
 
 
 @_apply.register
-def _apply_stop(event: StopAsked, state, now, out):
+def _apply_stop(event: events.StopAsked, state, now, out):
     state.leaving = True
     _beat(state, now, out)
 
 
 def _send(state, ip, message, out):
     if not ip or ip == state.own.ip:
-        out.append(Deliver(message))
+        out.append(effects.Deliver(message))
     else:
-        out.append(Send(ip, message))
+        out.append(effects.Send(ip, message))
 
 
 def _take_duty(state, now, out):
     state.duty_until = now + DUTY_TIME
     if not state.following:
         state.following = True
-        out.append(FollowStore(True))
-        out.append(Note("duty", {"taken": True}))
+        out.append(effects.FollowStore(True))
+        out.append(effects.Note("duty", {"taken": True}))
         _seek_workers(state, now, out)
 
 
@@ -334,7 +248,7 @@
         if contact is None or contact.member.name == state.own.name:
             continue
         if contact.heard_at is not None and contact.store_age is not None:
-            out.append(FetchWorkers(contact.member.ip))
+            out.append(effects.FetchWorkers(contact.member.ip))
             return
 
 
@@ -349,13 +263,13 @@
         state.informed = False
         state.desks.clear()
         state.entries = None
-        out.append(FollowStore(False))
-        out.append(Note("duty", {"taken": False}))
+        out.append(effects.FollowStore(False))
+        out.append(effects.Note("duty", {"taken": False}))
     if state.following and not state.informed:
         _seek_workers(state, now, out)
     gone = state.registry.drop_silent(now)
     if gone:
-        out.append(Note("members", {"gone": gone}))
+        out.append(effects.Note("members", {"gone": gone}))
         _push_list(state, out)
 
 
@@ -378,7 +292,7 @@
         if contact.member.name == own.name:
             _receive_beat(beat, state, "", now, out)
         else:
-            out.append(Send(contact.member.ip, beat))
+            out.append(effects.Send(contact.member.ip, beat))
 
 
 def _wants_list(state, contact, now):
@@ -421,7 +335,7 @@
     if message.name == state.own.name:
         _receive_answer(answer, state, "", now, out)
     else:
-        out.append(Send(message.ip, answer))
+        out.append(effects.Send(message.ip, answer))
         _compare_version(message.config_version, message.ip, state, out)
     if changed:
         _push_list(state, out)
@@ -444,7 +358,7 @@
         if member.name == state.own.name:
             state.view.take_members(answer.members, answer.digest)
         else:
-            out.append(Send(member.ip, answer))
+            out.append(effects.Send(member.ip, answer))
 
 
 @_receive.register
@@ -465,7 +379,7 @@
 
 def _compare_version(version, ip, state, out):
     if version > state.config_version and ip != state.own.ip:
-        out.append(FetchConfiguration(ip, version))
+        out.append(effects.FetchConfiguration(ip, version))
 
 
 @_receive.register
@@ -477,7 +391,7 @@
 def _receive_ask(message: messages.Ask, state, sender, now, out):
     _take_duty(state, now, out)
     if state.entries is None:
-        out.append(Note("ask-early", {"ask": message.ask_id}))
+        out.append(effects.Note("ask-early", {"ask": message.ask_id}))
         _seek_workers(state, now, out)
         return
     desk = state.find_desk(message.service)
@@ -509,7 +423,7 @@
     for zone in state.view.list_zones():
         contact = state.view.find_coordinator(zone, state.now)
         if contact is not None and contact.member.name != state.own.name:
-            out.append(Send(contact.member.ip, granted))
+            out.append(effects.Send(contact.member.ip, granted))
 
 
 def _describe_decision(answer, ask, state):
@@ -523,10 +437,10 @@
     if isinstance(answer, messages.Refusal):
         fields["reason"] = answer.reason
         fields["retry_after"] = answer.retry_after
-        return Note("refusal", fields)
+        return effects.Note("refusal", fields)
     fields["worker"] = answer.worker_id
     fields.update(desk.describe_choice(answer.worker_id, state.now))
-    return Note("grant", fields)
+    return effects.Note("grant", fields)
 
 
 def _arm_dispatch(state, now):
@@ -565,7 +479,7 @@
             "risk_before": round(before, 3),
             "risk": round(after, 3),
         }
-        out.append(Note("risk", fields))
+        out.append(effects.Note("risk", fields))
     _dispatch(desk, state, now, out)
 
 
@@ -586,4 +500,4 @@
 @_receive.register(messages.Queued)
 @_receive.register(messages.Refusal)
 def _receive_reply(message, state, sender, now, out):
-    out.append(Deliver(message))
+    out.append(effects.Deliver(message))
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -12,6 +12,8 @@
 
 from acaciafield.gateway import backends
 from acaciafield.gateway import coordination
+from acaciafield.gateway import effects
+from acaciafield.gateway import events
 from acaciafield.gateway import members
 from acaciafield_daemon.gateway import asking
 from acaciafield_daemon.gateway import decisions
@@ -198,7 +200,7 @@
                 self.log.write("seed-silent", seed=ip, cause=repr(error))
 
     def _take_members(self, found):
-        event = coordination.MembersRead(self.clock(), found)
+        event = events.MembersRead(self.clock(), found)
         self._apply(coordination.reduce_event(self.state, event))
 
     def _dump_members(self):
@@ -226,7 +228,7 @@
 
     def hear_store(self):
         """Take note that the store answered."""
-        self._feed(coordination.StoreHeard)
+        self._feed(events.StoreHeard)
 
     def take_workers(self, found):
         """Take in the list of workers."""
@@ -235,7 +237,7 @@
             listed=len(found),
             draining=[w.worker_id for w in found if w.draining],
         )
-        self._feed(coordination.WorkersRead, found)
+        self._feed(events.WorkersRead, found)
 
     def take_configuration(self, raw):
         """Take in a configuration as the store holds it."""
@@ -255,7 +257,7 @@
             before=known.version if known else None,
             routes=len(configuration.routes),
         )
-        self._feed(coordination.ConfigurationHeld, configuration.version)
+        self._feed(events.ConfigurationHeld, configuration.version)
 
     # Effects
 
@@ -264,7 +266,7 @@
         self._apply(coordination.reduce_event(self.state, event))
 
     def _receive(self, sender, message):
-        self._feed(coordination.MessageReceived, sender, message)
+        self._feed(events.MessageReceived, sender, message)
 
     def _send_to(self, name, message):
         if name == self.options.name:
@@ -274,8 +276,8 @@
         if contact is not None:
             self.peers.send(contact.member.ip, message)
 
-    def _apply(self, effects):
-        for effect in effects:
+    def _apply(self, wanted):
+        for effect in wanted:
             carry_out(effect, self)
         self._arm_timer()
 
@@ -290,7 +292,7 @@
 
     def _tick(self):
         self._timer = None
-        self._feed(coordination.Tick)
+        self._feed(events.Tick)
 
     def start_fetch(self, coroutine):
         """Run a fetch beside the loop's other work, a few at a time."""
@@ -321,7 +323,7 @@
         document = orjson.loads(raw)
         found = [backends.WorkerEntry(*row) for row in document["workers"]]
         self._feed(
-            coordination.WorkersFetched,
+            events.WorkersFetched,
             found,
             document["age"],
             document["knowledge"],
@@ -409,7 +411,7 @@
         began = self.clock()
         self.entry.leaving = True
         self.log.write("stop", active=self.entry.active, began=True)
-        self._feed(coordination.StopAsked)
+        self._feed(events.StopAsked)
         close_at = CLOSE_SHARE * self.options.grace
         await asyncio.sleep(close_at)
         for listener in self._listeners:
@@ -441,31 +443,31 @@
 
 
 @carry_out.register
-def _send(effect: coordination.Send, gateway):
+def _send(effect: effects.Send, gateway):
     gateway.peers.send(effect.ip, effect.message)
 
 
 @carry_out.register
-def _deliver(effect: coordination.Deliver, gateway):
+def _deliver(effect: effects.Deliver, gateway):
     gateway.asker.deliver(effect.message)
 
 
 @carry_out.register
-def _note(effect: coordination.Note, gateway):
+def _note(effect: effects.Note, gateway):
     gateway.log.write(effect.kind, **effect.fields)
 
 
 @carry_out.register
-def _follow_store(effect: coordination.FollowStore, gateway):
+def _follow_store(effect: effects.FollowStore, gateway):
     gateway.feeds.set_active(effect.active)
 
 
 @carry_out.register
-def _fetch_configuration(effect: coordination.FetchConfiguration, gateway):
+def _fetch_configuration(effect: effects.FetchConfiguration, gateway):
     fetch = gateway.fetch_configuration(effect.ip, effect.version)
     gateway.start_fetch(fetch)
 
 
 @carry_out.register
-def _fetch_workers(effect: coordination.FetchWorkers, gateway):
+def _fetch_workers(effect: effects.FetchWorkers, gateway):
     gateway.start_fetch(gateway.fetch_workers(effect.ip))
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -2,6 +2,7 @@
 
 from acaciafield.gateway import backends
 from acaciafield.gateway import coordination
+from acaciafield.gateway import events
 from acaciafield.gateway import granting
 from acaciafield.gateway import members
 from acaciafield.gateway import messages
@@ -126,11 +127,11 @@
 
 
 def receive(state, message, now, sender="10.0.0.9"):
-    """Feed a message to a node; return the effects."""
-    event = coordination.MessageReceived(now, sender, message)
+    """Feed a message to a node; return the out."""
+    event = events.MessageReceived(now, sender, message)
     return coordination.reduce_event(state, event)
 
 
-def pick(effects, kind):
-    """Return the effects of a kind."""
-    return [effect for effect in effects if type(effect) is kind]
+def pick(out, kind):
+    """Return the out of a kind."""
+    return [effect for effect in out if type(effect) is kind]
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -1,6 +1,8 @@
 """Coordinators: who they are, and what they do without the store."""
 
 from acaciafield.gateway import coordination
+from acaciafield.gateway import effects
+from acaciafield.gateway import events
 from acaciafield.gateway import messages
 from tests import gateway_support as support
 
@@ -23,12 +25,10 @@
     other = support.make_member("n2", zone="zb")
     state.view.add_candidate(other)
     state.start(10.0)
-    coordination.reduce_event(state, coordination.Tick(10.0))
+    coordination.reduce_event(state, events.Tick(10.0))
     support.receive(state, answer("n2", store_age=5.0), 10.1)
-    effects = support.receive(
-        state, support.make_ask(), 10.2, sender="10.0.0.3"
-    )
-    fetches = support.pick(effects, coordination.FetchWorkers)
+    out = support.receive(state, support.make_ask(), 10.2, sender="10.0.0.3")
+    fetches = support.pick(out, effects.FetchWorkers)
     assert [fetch.ip for fetch in fetches] == [other.ip]
 
 
@@ -36,18 +36,14 @@
     state = support.make_state("n1")
     state.start(10.0)
     entries = [support.make_entry("w1")]
-    coordination.reduce_event(
-        state, coordination.WorkersFetched(10.0, entries, 4.0)
-    )
-    effects = support.receive(state, support.make_ask(), 10.1)
-    sent = support.pick(effects, coordination.Send)
+    coordination.reduce_event(state, events.WorkersFetched(10.0, entries, 4.0))
+    out = support.receive(state, support.make_ask(), 10.1)
+    sent = support.pick(out, effects.Send)
     assert isinstance(sent[0].message, messages.Grant)
     assert state.read_store_age(10.1) > 4.0
     newer = [support.make_entry("w2")]
-    coordination.reduce_event(state, coordination.WorkersRead(10.2, newer))
-    coordination.reduce_event(
-        state, coordination.WorkersFetched(10.3, entries, 4.0)
-    )
+    coordination.reduce_event(state, events.WorkersRead(10.2, newer))
+    coordination.reduce_event(state, events.WorkersFetched(10.3, entries, 4.0))
     assert [e.worker_id for e in state.entries["orders"]] == ["w2"]
 
 
@@ -137,7 +133,7 @@
     old = support.make_state("n1")
     old.start(10.0)
     entries = [support.make_entry("w%d" % n, slots=4) for n in (1, 2)]
-    coordination.reduce_event(old, coordination.WorkersRead(10.0, entries))
+    coordination.reduce_event(old, events.WorkersRead(10.0, entries))
     support.receive(old, support.make_ask("r1:1", left=5.0), 10.1)
     flight = next(iter(old.desks["orders"].flights.values()))
     bad = flight.worker.entry.worker_id
@@ -148,15 +144,15 @@
     new.start(110.0)
     document = old.dump_knowledge(10.3)
     coordination.reduce_event(
-        new, coordination.WorkersFetched(110.0, entries, 0.3, document)
+        new, events.WorkersFetched(110.0, entries, 0.3, document)
     )
     desk = new.desks["orders"]
     assert desk.workers[bad].read_risk(110.0) > 0.5
     assert list(desk.flights) == ["r2:1"]
-    effects = support.receive(
+    out = support.receive(
         new, support.make_ask("r3:1", idempotent=False), 110.0
     )
-    grant = support.pick(effects, coordination.Send)[0].message
+    grant = support.pick(out, effects.Send)[0].message
     assert grant.worker_id != bad
 
 
@@ -167,9 +163,9 @@
     assert state.is_serving(11.0)
     assert not state.is_serving(13.0)
     entries = [support.make_entry("w1")]
-    coordination.reduce_event(state, coordination.WorkersRead(13.1, entries))
+    coordination.reduce_event(state, events.WorkersRead(13.1, entries))
     assert state.is_serving(13.2)
-    coordination.reduce_event(state, coordination.StopAsked(14.0))
+    coordination.reduce_event(state, events.StopAsked(14.0))
     assert not state.is_serving(14.0)
 
 
@@ -187,10 +183,10 @@
     other.note_answer(10.0)
     other.store_age = 0.1
     state.start(10.0)
-    coordination.reduce_event(state, coordination.Tick(10.1))
+    coordination.reduce_event(state, events.Tick(10.1))
     state.store_at, state.entries = 10.2, {}
     for now in (10.7, 11.3, 11.9):
         other.note_answer(now)
-        coordination.reduce_event(state, coordination.Tick(now))
+        coordination.reduce_event(state, events.Tick(now))
     chosen = state.view.find_coordinator("za", 11.95)
     assert chosen.member.name == ranked[0]
