--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -171,16 +171,16 @@
             if self._may_hedge(call, running):
                 until = min(until, call.sent_at + call.hedge_after)
             sent = asyncio.ensure_future(call.sent.wait())
-            done, _ = await asyncio.wait(
-                [*running, sent],
-                timeout=max(0.0, until - self.clock()),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            woken = sent in done
-            sent.cancel()
-            done.discard(sent)
-            if done or not woken:
-                return done
+            try:
+                done, _ = await asyncio.wait(
+                    [*running, sent],
+                    timeout=max(0.0, until - self.clock()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            finally:
+                sent.cancel()
+            if done != {sent}:
+                return done - {sent}
 
     def _may_hedge(self, call, running):
         if call.hedge_after is None or not call.route.idempotent:
