--- a/packages/daemon/acaciafield_daemon/gateway/upstream.py
+++ b/packages/daemon/acaciafield_daemon/gateway/upstream.py
@@ -116,6 +116,9 @@
             max_line_size=MOST_HEAD,
             max_field_size=MOST_HEAD,
         )
+        # The client would send a GET again by itself when its connection
+        # breaks; that has no public switch.
+        self._session._retry_connection = False
         try:
             yield self
         finally:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -141,3 +141,10 @@
 
     result = asyncio.run(asyncio.wait_for(steps(), 10.0))
     assert result.ending is Ending.UNREACHED
+
+
+@pytest.mark.parametrize("abort", [False, True])
+def test_attempt_is_sent_once_whatever_becomes_of_its_connection(abort):
+    seen = []
+    assert send(b"", abort, seen=seen).ending is Ending.RESET
+    assert len(seen) == 1
