Let a coordinator that the store refuses say so at once

A coordinator now tells all members at its first failed reading and they look for another candidate.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -57,6 +57,7 @@
         "following",
         "informed",
         "store_at",
+        "hears_store",
         "answered_at",
         "config_version",
         "ready",
@@ -77,6 +78,7 @@
         self.following = False
         self.informed = False
         self.store_at = None
+        self.hears_store = True
         self.answered_at = None
         self.config_version = 0
         self.ready = False
@@ -198,6 +200,21 @@
 @_apply.register
 def _apply_store(event: events.StoreHeard, state, now, out):
     state.store_at = now
+    state.hears_store = True
+
+
+@_apply.register
+def _apply_store_lost(event: events.StoreLost, state, now, out):
+    """Tell the members at once, as they must look for another."""
+    if not state.hears_store:
+        return
+    state.hears_store = False
+    answer = _make_answer(state, None)
+    for member, _ in state.registry.table.values():
+        if member.name == state.own.name:
+            _receive_answer(answer, state, "", now, out)
+        else:
+            out.append(effects.Send(member.ip, answer))
 
 
 @_apply.register
@@ -323,15 +340,7 @@
     rows = None
     if message.wants_list and message.digest != registry.digest:
         rows = registry.list_rows()
-    answer = messages.BeatAnswer(
-        state.own.name,
-        state.own.born,
-        state.config_version,
-        state.read_store_age(now),
-        state.leaving,
-        registry.digest,
-        rows,
-    )
+    answer = _make_answer(state, rows)
     if message.name == state.own.name:
         _receive_answer(answer, state, "", now, out)
     else:
@@ -341,17 +350,22 @@
         _push_list(state, out)
 
 
-def _push_list(state, out):
-    registry = state.registry
-    answer = messages.BeatAnswer(
+def _make_answer(state, rows):
+    return messages.BeatAnswer(
         state.own.name,
         state.own.born,
         state.config_version,
         state.read_store_age(state.now),
+        state.hears_store,
         state.leaving,
-        registry.digest,
-        registry.list_rows(),
+        state.registry.digest,
+        rows,
     )
+
+
+def _push_list(state, out):
+    registry = state.registry
+    answer = _make_answer(state, registry.list_rows())
     for member, _ in registry.table.values():
         if member.zone != state.own.zone:
             continue
@@ -368,6 +382,7 @@
         return
     contact.note_answer(now)
     contact.store_age = message.store_age
+    contact.hears_store = message.hears_store
     contact.leaving = message.leaving
     state.answered_at = now
     if message.members is not None:
--- a/packages/coordination/acaciafield/gateway/events.py
+++ b/packages/coordination/acaciafield/gateway/events.py
@@ -34,6 +34,12 @@
     __slots__ = ("now",)
 
 
+class StoreLost(structs.Struct):
+    """A reading of the platform's store failed."""
+
+    __slots__ = ("now",)
+
+
 class ConfigurationHeld(structs.Struct):
     """This node now holds a version of the configuration."""
 
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -55,6 +55,7 @@
         "unanswered",
         "ask_rest",
         "store_age",
+        "hears_store",
         "leaving",
     )
 
@@ -65,6 +66,7 @@
         self.unanswered = None
         self.ask_rest = 0.0
         self.store_age = None
+        self.hears_store = True
         self.leaving = False
 
     def note_beat(self, now):
@@ -93,7 +95,9 @@
             return Grade.LEAVING
         if self.store_age is None:
             return Grade.BLIND
-        return Grade.STALE if self.store_age > STALE_AFTER else Grade.FRESH
+        if not self.hears_store or self.store_age > STALE_AFTER:
+            return Grade.STALE
+        return Grade.FRESH
 
 
 class Registry:
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -130,7 +130,8 @@
     """A coordinator's answer to a heartbeat.
 
     ``store_age`` is the time since it last heard the platform's store,
-    None while it knows no workers;
+    None while it knows no workers; ``hears_store`` whether its last
+    reading succeeded;
     ``members`` is None where the digests agree, else rows of name, born,
     ip, zone, weight, ready.
     """
@@ -141,6 +142,7 @@
         "born",
         "config_version",
         "store_age",
+        "hears_store",
         "leaving",
         "digest",
         "members",
--- a/packages/daemon/acaciafield_daemon/gateway/feeds.py
+++ b/packages/daemon/acaciafield_daemon/gateway/feeds.py
@@ -211,6 +211,7 @@
         try:
             read = await follower.read(wait)
         except StoreError as error:
+            self.hooks.lose_store()
             if name not in self._failing:
                 self._failing[name] = self.clock()
                 self.log.write(
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -230,6 +230,10 @@
         """Take note that the store answered."""
         self._feed(events.StoreHeard)
 
+    def lose_store(self):
+        """Take note that the store failed to answer."""
+        self._feed(events.StoreLost)
+
     def take_workers(self, found):
         """Take in the list of workers."""
         self.log.write(
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -13,6 +13,7 @@
         "born": 1,
         "config_version": 0,
         "store_age": 0.1,
+        "hears_store": True,
         "leaving": False,
         "digest": "",
         "members": None,
@@ -190,3 +191,32 @@
         coordination.reduce_event(state, events.Tick(now))
     chosen = state.view.find_coordinator("za", 11.95)
     assert chosen.member.name == ranked[0]
+
+
+def test_coordinator_that_the_store_refuses_says_so_at_once():
+    state = support.make_state("n1")
+    state.start(10.0)
+    coordination.reduce_event(state, events.WorkersRead(10.0, []))
+    beat = support.make_beat(support.make_state("n2"))
+    support.receive(state, beat, 10.1, sender="10.0.0.2")
+    out = coordination.reduce_event(state, events.StoreLost(10.2))
+    sent = support.pick(out, effects.Send)
+    assert [(s.ip, s.message.hears_store) for s in sent] == [
+        ("10.0.0.2", False)
+    ]
+    out = coordination.reduce_event(state, events.StoreLost(10.3))
+    assert not support.pick(out, effects.Send)
+
+
+def test_another_candidate_is_looked_for_once_the_store_refuses_one():
+    state = support.make_state("n9", zone="zz")
+    for name in ("n1", "n2"):
+        state.view.add_candidate(support.make_member(name))
+    first, second = state.view.list_candidates("za")
+    support.receive(state, answer(first.member.name), 1.0)
+    assert second not in state.view.list_targets(1.1)
+    lost = answer(first.member.name, hears_store=False)
+    support.receive(state, lost, 1.2)
+    assert second in state.view.list_targets(1.3)
+    support.receive(state, answer(second.member.name), 1.35)
+    assert state.view.find_coordinator("za", 1.4) is second
