--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -139,7 +139,7 @@
         return await self._serve(call, request)
 
     async def _serve(self, call, request):
-        running = {}
+        running = set()
         last = None
         try:
             self._start(call, running)
@@ -152,7 +152,7 @@
                     self._start(call, running)
                     continue
                 for task in done:
-                    del running[task]
+                    running.remove(task)
                     result = task.result()
                     response = await self._take(call, result, request, running)
                     if response is not None:
@@ -190,8 +190,7 @@
 
     def _start(self, call, running):
         call.asked += 1
-        task = asyncio.ensure_future(self._attempt(call, call.asked))
-        running[task] = call.asked
+        running.add(asyncio.ensure_future(self._attempt(call, call.asked)))
 
     async def _take(self, call, result, request, running):
         if isinstance(result, Refused):
