Arm a timer that is already due without asking when it fires

The node now remembers the time itself. Ruled out: asyncio's own loop, which always gives a timer. A test under uvloop failed first.

--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -84,6 +84,7 @@
         self._listeners = []
         self._fetching = 0
         self._timer = None
+        self._due = None
 
     async def run(self):
         """Serve until told to stop, then finish what is in hand."""
@@ -287,15 +288,17 @@
 
     def _arm_timer(self):
         due = self.state.next_due()
+        if due == self._due:
+            return
         if self._timer is not None:
-            if due == self._timer.when():
-                return
             self._timer.cancel()
+            self._timer = None
+        self._due = due
         if due is not None:
             self._timer = self.loop.call_at(due, self._tick)
 
     def _tick(self):
-        self._timer = None
+        self._timer = self._due = None
         self._feed(events.Tick)
 
     def start_fetch(self, coroutine):
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 import expression
+import uvloop
 
 from acaciafield_daemon.gateway import gateway
 from acaciafield_daemon.gateway import options as gateway_options
@@ -181,6 +182,22 @@
     asyncio.run(asyncio.wait_for(run(), 20.0))
 
 
+class QuietStore:
+    """A store that nobody asks."""
+
+    decode_worker = decode_configuration = decode_member = None
+
+
+def test_timer_that_is_already_due_can_be_armed_again():
+    async def run():
+        node = gateway.Gateway(make_options(), QuietStore(), None)
+        node.state.start(node.clock() - 1.0)
+        node._arm_timer()
+        node._arm_timer()
+
+    uvloop.run(run())
+
+
 def test_request_is_passed_on_and_answered_whole():
     async def steps(rig):
         status, headers, body = await rig.call(
