Keep the budget of repeats over a restart of the whole fleet

A node that few send heartbeats to uses its share of the slack, a budget without a past earns its slack within a window, and a new coordinator takes over the counts of another one.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -96,7 +96,7 @@
         """Return the desk of a service."""
         desk = self.desks.get(service)
         if desk is None:
-            desk = granting.Desk(service, self.terms, self.random)
+            desk = granting.Desk(service, self.terms, self.random, self.now)
             self.desks[service] = desk
             _fill_desk(self, desk)
         return desk
@@ -118,9 +118,21 @@
         """Return what the desks know, for another coordinator."""
         return {name: desk.dump(now) for name, desk in self.desks.items()}
 
+    def read_share(self):
+        """Return the share of the fleet's slack that is used here.
+
+        A node that few send their heartbeats to may be one of many that
+        coordinate without knowing of each other.
+        """
+        known = len(self.view.contacts)
+        heard = len(self.registry.table)
+        if 2 * len(self.view.list_zones()) * heard >= known:
+            return 1.0
+        return max(1, heard) / known
+
     def is_serving(self, now):
         """Tell whether callers' requests can be given workers here."""
-        if not self.ready or self.leaving:
+        if not self.ready or self.leaving or self.answered_at is None:
             return False
         if self.entries is not None:
             return True
@@ -410,6 +422,7 @@
         _seek_workers(state, now, out)
         return
     desk = state.find_desk(message.service)
+    desk.budget.share = state.read_share()
     answer = desk.decide(message, sender, now)
     _answer_ask(answer, message, state, sender, out)
     if desk.queue:
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -107,13 +107,13 @@
         "flights",
     )
 
-    def __init__(self, service, terms, random):
+    def __init__(self, service, terms, random, started=None):
         self.service = service
         self.workers = {}
         self.queue = []
         self.latencies = {}
         self.budget = budgets.WindowBudget(
-            terms.ratio, terms.slack, terms.window
+            terms.ratio, terms.slack, terms.window, started
         )
         self.quarantine = quarantine.Quarantine(CRASH_TERMS)
         self.random = random
@@ -140,6 +140,7 @@
                 worker_id: worker.dump(now)
                 for worker_id, worker in self.workers.items()
             },
+            "budget": self.budget.dump(now),
             "latencies": {
                 route: latency.dump()
                 for route, latency in self.latencies.items()
@@ -160,6 +161,7 @@
 
     def load(self, document, now):
         """Take over what another coordinator's desk knows."""
+        self.budget.load(document["budget"], now)
         for worker_id, row in document["workers"].items():
             worker = self.workers.get(worker_id)
             if worker is not None:
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -220,3 +220,47 @@
     assert second in state.view.list_targets(1.3)
     support.receive(state, answer(second.member.name), 1.35)
     assert state.view.find_coordinator("za", 1.4) is second
+
+
+def ask_alone(name, fleet):
+    """Let a node that just began decide; return the repeats it grants."""
+    state = support.make_state(name)
+    state.start(0.0)
+    members = [support.make_member(other) for other in fleet]
+    coordination.reduce_event(state, events.MembersRead(0.0, members))
+    workers = [support.make_entry("w%d" % n, slots=9) for n in range(1, 9)]
+    coordination.reduce_event(state, events.WorkersRead(0.0, workers))
+    granted = 0
+    for number in range(8):
+        ask = support.make_ask("%s-%d:1" % (name, number), repeats=number % 2)
+        out = support.receive(state, ask, 0.5, "10.0.0.9")
+        sent = support.pick(out, effects.Send)
+        granted += ask.repeats * any(
+            isinstance(effect.message, messages.Grant) for effect in sent
+        )
+    return granted
+
+
+def test_nodes_that_start_together_keep_one_budget_of_repeats():
+    fleet = ["n%d" % number for number in range(1, 49)]
+    granted = sum(ask_alone(name, fleet) for name in fleet)
+    firsts = 4 * len(fleet)
+    assert granted <= support.TERMS.ratio * firsts + support.TERMS.slack
+
+
+def test_new_coordinator_goes_on_with_the_budget_of_another():
+    first = support.make_desk(4, slots=90)
+    for number in range(60):
+        first.decide(support.make_ask("f%d:1" % number), "", 1.0)
+        repeat = support.make_ask("r%d:1" % number, repeats=1)
+        first.decide(repeat, "", 1.0)
+    second = support.make_desk(4, slots=90)
+    second.load(first.dump(2.0), 102.0)
+    answer = second.decide(support.make_ask("x:1", repeats=1), "", 102.1)
+    assert answer.reason == "budget"
+
+
+def test_node_that_has_not_started_is_not_ready():
+    state = support.make_state()
+    state.ready = True
+    assert not state.is_serving(1.0)
