--- a/bench/placing.py
+++ b/bench/placing.py
@@ -94,6 +94,7 @@
         "count",
         "spells",
         "arrived",
+        "busy",
     )
 
     def __init__(self, load, factor, seed):
@@ -104,6 +105,7 @@
         self.events = []
         self.count = 0
         self.arrived = {}
+        self.busy = {}
         names = ["w%d" % number for number in range(load.workers)]
         entries = [
             backends.WorkerEntry(
@@ -191,9 +193,21 @@
             length = self._draw_work()
             failed = self.random.random() < OWN_ERRORS
         ending = "failed" if failed else "answered"
+        length += self._wait_for_slot(answer.worker_id, now, length)
         fields = (ask, answer.worker_id, ending, length)
         self._add(now + length, self._end, *fields)
 
+    def _wait_for_slot(self, worker_id, now, length):
+        """Return the seconds that a request waits at its worker."""
+        ends = self.busy.setdefault(worker_id, [])
+        while ends and ends[0] <= now:
+            heapq.heappop(ends)
+        start = now
+        if len(ends) >= self.load.slots:
+            start = heapq.heappop(ends)
+        heapq.heappush(ends, start + length)
+        return start - now
+
     def _draw_work(self):
         load = self.load
         log_mean = math.log(load.mean) - load.spread**2 / 2
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -28,6 +28,7 @@
 LAST_CHANCE = 0.8  # share of the wait after which any worker will do
 REPEAT_CHANCE = 0.25  # the same where another attempt may follow
 HOLD_SHARE = 0.5  # share of the target that a request may wait
+EXTRA_FLIGHTS = 1  # requests beyond the slots of a worker
 LEAST_RETRY_AFTER = 0.1  # seconds
 MOST_RETRY_AFTER = 3.0  # seconds
 NO_WORKER_RETRY = 0.5  # seconds after which to ask for an absent worker
@@ -284,7 +285,15 @@
             return False
         if worker.is_path_bad(ask.node, now) or now < worker.full_until:
             return False
-        return len(worker.flights) < entry.slots
+        return len(worker.flights) < entry.slots + self._count_extra(entry)
+
+    def _count_extra(self, entry):
+        """Return how many requests may wait at a worker itself.
+
+        They fill the time in which an answer and the next request are
+        on their way.
+        """
+        return EXTRA_FLIGHTS if entry.slots > 1 else 0
 
     def _may_scout(self, ask, now):
         if ask.last or ask.repeats:
