Send callers to hosts in proportion to what they bear; never decide alone beside a coordinator

Callers get as many hosts as the largest would need to be to carry all, drawn by weight and by caller. A node whose heartbeats are answered asks the coordinators in turn. Ruled out: slow coordinators (0.18 of 2.15 cores at most) and loss (answers came within 4 ms at the 95th percentile where they came).

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -59,6 +59,7 @@
         "store_at",
         "hears_store",
         "answered_at",
+        "coordinated",
         "config_version",
         "ready",
         "leaving",
@@ -80,6 +81,7 @@
         self.store_at = None
         self.hears_store = True
         self.answered_at = None
+        self.coordinated = False
         self.config_version = 0
         self.ready = False
         self.leaving = False
@@ -130,6 +132,12 @@
             return 1.0
         return max(1, heard) / known
 
+    def may_act_alone(self, now):
+        """Tell whether no coordinator answered this node's heartbeats."""
+        if not self.coordinated:
+            return True
+        return now - self.answered_at > ALONE_AFTER
+
     def is_serving(self, now):
         """Tell whether callers' requests can be given workers here."""
         if not self.ready or self.leaving or self.answered_at is None:
@@ -397,6 +405,7 @@
     contact.hears_store = message.hears_store
     contact.leaving = message.leaving
     state.answered_at = now
+    state.coordinated = True
     if message.members is not None:
         chosen = state.view.find_coordinator(state.own.zone, now)
         if chosen is contact or chosen is None or chosen.is_silent(now):
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 
 import xxhash
 
@@ -19,6 +20,8 @@
 MOST_PROBES = 1  # other candidates of a zone that one round may probe
 ASK_REST = 1.0  # seconds without asks to a coordinator that missed one
 FORGET_AFTER = 10.0  # seconds without beats after which silence is forgotten
+HASH_SIZE = 2.0**64 + 1  # values of the hash that draws addresses
+ROUNDING = 1e-6  # of weights, which are sums of fractions
 STALE_AFTER = 2.5  # seconds without the store that make a candidate worse
 
 
@@ -236,11 +239,10 @@
         found.sort(key=lambda contact: contact.beaten_at or 0.0)
         return found[:MOST_PROBES]
 
-    def rank_coordinators(self, service, now):
+    def rank_coordinators(self, service, now, alone=True):
         """Return the names to ask for a service, first choice first.
 
-        The node itself comes last: without any coordinator it decides
-        alone.
+        The node itself comes last if it may decide ``alone``.
         """
         chosen, resting = {}, {}
         for zone in self.list_zones():
@@ -255,7 +257,7 @@
             names = [n for n, c in chosen.items() if c.grade(now) is grade]
             ranked += placement.rank_nodes(service, names, len(names))
         ranked += placement.rank_nodes(service, list(resting), 1)
-        if self.own.name not in ranked:
+        if not ranked or (alone and self.own.name not in ranked):
             ranked.append(self.own.name)
         return ranked
 
@@ -265,16 +267,36 @@
         if contact is not None:
             contact.ask_rest = now + ASK_REST
 
-    def list_ready_ips(self, zone, least):
-        """Return addresses for callers of a zone.
+    def list_ready_ips(self, zone, least, caller=""):
+        """Return addresses for a caller of a zone.
 
-        With fewer than ``least`` ready members there, all are given.
+        With fewer than ``least`` ready members there, those of all zones
+        are taken. Where hosts differ in weight, each caller gets as many
+        as the largest would need to be to carry all, and keeps them
+        while they are ready.
         """
         ready = [m for m in self.members.values() if m.ready]
-        near = [m.ip for m in ready if m.zone == zone]
-        if len(near) >= least:
-            return near
-        return [m.ip for m in ready]
+        near = [m for m in ready if m.zone == zone]
+        if len(near) < least:
+            near = ready
+        largest = max((m.weight for m in near), default=0.0)
+        if not largest:
+            return [m.ip for m in near]
+        count = math.ceil(sum(m.weight for m in near) / largest - ROUNDING)
+        near.sort(key=lambda member: _draw_rank(member, caller))
+        return [m.ip for m in near[: max(least, count)]]
+
+
+def _draw_rank(member, caller):
+    """Return where a member stands for a caller, lowest first.
+
+    In proportion to its weight a member stands first for callers.
+    """
+    digest = xxhash.xxh3_64_intdigest(
+        ("%s|%s" % (caller, member.name)).encode()
+    )
+    share = (digest + 1) / HASH_SIZE
+    return -math.log(share) / max(member.weight, ROUNDING)
 
 
 def _rank_contact(contact):
--- a/packages/daemon/acaciafield_daemon/gateway/asking.py
+++ b/packages/daemon/acaciafield_daemon/gateway/asking.py
@@ -1,13 +1,13 @@
 """Asking a coordinator for a worker, and another when it is silent."""
 
 import asyncio
+import itertools
 
 from acaciafield.gateway import messages
 
 FIRST_TIMEOUT = 0.06  # seconds; a hop and back with a busy coordinator
-NEXT_TIMEOUT = 0.12  # seconds, where the next best is asked
+NEXT_TIMEOUT = 0.12  # seconds, where another is asked after it
 QUEUED_REFRESH = 0.4  # seconds after which a queued ask is sent again
-LAST_PAUSE = 0.15  # seconds between asks once nobody is left
 
 
 class Pending:
@@ -66,25 +66,25 @@
         pending = self.pending[ask.ask_id] = Pending()
         left_at = self.clock() + ask.left
         try:
-            ranked = self.state.view.rank_coordinators(
-                ask.service, self.clock()
-            )
             timeout = FIRST_TIMEOUT
-            while self.clock() < give_up_at:
-                name = ranked.pop(0) if len(ranked) > 1 else ranked[0]
+            for name in itertools.cycle(self._rank_names(ask.service)):
+                if self.clock() >= give_up_at:
+                    return pending.answer
                 ask.left = round(left_at - self.clock(), 3)
                 answer = await self._ask_one(name, ask, pending, timeout)
                 if answer is not None:
                     return answer
                 timeout = NEXT_TIMEOUT
-                if len(ranked) == 1:
-                    await pending.wait(LAST_PAUSE)
-            return pending.answer
         finally:
             del self.pending[ask.ask_id]
             if pending.answer is None:
                 self.withdraw(ask)
 
+    def _rank_names(self, service):
+        now = self.clock()
+        alone = self.state.may_act_alone(now)
+        return self.state.view.rank_coordinators(service, now, alone)
+
     async def _ask_one(self, name, ask, pending, timeout):
         pending.queued = False
         self.send(name, ask)
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -360,7 +360,9 @@
         zone = request.query.get("zone", "")
         if not self._is_ready():
             return web.Response(status=503)
-        ips = self.state.view.list_ready_ips(zone, LEAST_ADDRESSES)
+        ips = self.state.view.list_ready_ips(
+            zone, LEAST_ADDRESSES, request.remote or ""
+        )
         ips = ips or [self.options.ip]
         if len(ips) > MOST_ADDRESSES:
             ips = self.state.random.sample(ips, MOST_ADDRESSES)
--- /dev/null
+++ b/tests/test_gateway_members.py
@@ -0,0 +1,119 @@
+"""The addresses that callers get, and whom a node asks."""
+
+import asyncio
+import collections
+
+from acaciafield.gateway import members
+from acaciafield.gateway import messages
+from acaciafield_daemon.gateway import asking
+from acaciafield_daemon.gateway import decisions
+from tests import gateway_support as support
+
+LARGE = ["n1", "n2"]
+SMALL = ["n%d" % number for number in range(3, 27)]
+
+
+def make_view(weights):
+    """Return the View of a zone's hosts by name."""
+    found = [
+        support.make_member(name, weight=weight)
+        for name, weight in weights.items()
+    ]
+    view = members.View(found[0])
+    view.take_members([member.as_row() for member in found], "d")
+    return view
+
+
+def make_mixed_view():
+    weights = {name: 2.0 for name in LARGE}
+    return make_view(weights | {name: 0.1 for name in SMALL})
+
+
+def list_names(view, caller):
+    found = view.list_ready_ips("za", 3, caller)
+    return ["n" + ip.rpartition(".")[2] for ip in found]
+
+
+def test_callers_are_sent_to_hosts_in_proportion_to_what_they_bear():
+    view = make_mixed_view()
+    picked = collections.Counter()
+    for number in range(300):
+        names = list_names(view, "10.9.0.%d" % number)
+        for name in names:
+            picked[name] += 1.0 / len(names)
+    total = sum(picked.values())
+    assert sum(picked[name] for name in LARGE) >= 0.4 * total
+    assert all(picked[name] < 0.06 * total for name in SMALL)
+    assert sum(1 for name in SMALL if picked[name]) > len(SMALL) / 2
+
+
+def test_caller_keeps_its_addresses_while_they_are_ready():
+    view = make_mixed_view()
+    before = list_names(view, "10.9.0.1")
+    left_out = next(name for name in SMALL if name not in before)
+    del view.members[left_out]
+    assert list_names(view, "10.9.0.1") == before
+    del view.members[before[-1]]
+    assert set(before[:-1]) <= set(list_names(view, "10.9.0.1"))
+
+
+def test_callers_get_all_hosts_where_these_are_alike():
+    view = make_view({name: 0.86 for name in SMALL})
+    assert sorted(list_names(view, "10.9.0.1")) == sorted(SMALL)
+
+
+def test_callers_get_all_small_hosts_once_the_large_ones_are_gone():
+    view = make_mixed_view()
+    for name in LARGE:
+        del view.members[name]
+    assert sorted(list_names(view, "10.9.0.1")) == sorted(SMALL)
+
+
+def ask_silent_coordinators(state):
+    """Let an ask run out; return the names that were asked."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        asked = []
+        log = decisions.DecisionLog("n1", loop.time)
+        asker = asking.Asker(
+            state,
+            lambda name, message: (
+                asked.append(name)
+                if isinstance(message, messages.Ask)
+                else None
+            ),
+            lambda: loop.time() - started,
+            log,
+        )
+        started = loop.time() - 1.0
+        ask = support.make_ask()
+        assert await asker.ask(ask, 1.5) is None
+        return asked
+
+    return asyncio.run(run())
+
+
+def make_node(answered_at):
+    """Return a NodeState with two coordinators beside it."""
+    state = support.make_state("n3")
+    state.start(0.0)
+    for name, zone in (("n1", "za"), ("n2", "zb")):
+        member = support.make_member(name, zone=zone, weight=2.0)
+        state.view.add_candidate(member)
+        state.view.contacts[name].note_answer(answered_at)
+        state.view.contacts[name].store_age = 0.1
+    state.coordinated = True
+    state.answered_at = answered_at
+    return state
+
+
+def test_node_whose_coordinators_answer_beats_asks_them_in_turn():
+    asked = ask_silent_coordinators(make_node(answered_at=0.9))
+    assert set(asked) == {"n1", "n2"}
+    assert len(asked) >= 3
+
+
+def test_node_whose_coordinators_fell_silent_decides_alone():
+    state = make_node(answered_at=-1.0)
+    assert "n3" in ask_silent_coordinators(state)
