--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -5,6 +5,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 
 import aiohttp
 from aiohttp import web
@@ -418,3 +420,11 @@
         assert len(rig.seen) == 1
 
     play(steps)
+
+
+def test_gateway_loads_its_http_library_without_tls():
+    code = (
+        "import acaciafield_daemon.gateway, aiohttp.connector, ssl\n"
+        "assert aiohttp.connector.ssl is None and ssl.SSLContext"
+    )
+    subprocess.run([sys.executable, "-c", code], check=True)
