--- a/bench/placing.py
+++ b/bench/placing.py
@@ -17,6 +17,7 @@
 FAILURE_TIME = 0.003  # seconds in which a worker in a bad spell fails
 OWN_ERRORS = 0.012  # share of requests that fail at sound workers
 LENGTH = 40.0  # seconds of one play
+SLOWLY = 0.125  # share of the target within which refusing is at once
 DISPATCH = 0.02  # seconds between looks at the queue
 
 
@@ -59,9 +60,21 @@
 
 
 class Tally:
-    """What the callers of one play got; ``held`` in seconds."""
+    """What the callers of one play got.
 
-    __slots__ = ("asked", "served", "late", "failed", "refused", "held")
+    ``held`` is the longest time in seconds that a refused one was held,
+    ``slowly`` counts those refused after an eighth of their target.
+    """
+
+    __slots__ = (
+        "asked",
+        "served",
+        "late",
+        "failed",
+        "refused",
+        "slowly",
+        "held",
+    )
 
     def __init__(self):
         self.asked = 0
@@ -69,17 +82,12 @@
         self.late = 0
         self.failed = 0
         self.refused = 0
+        self.slowly = 0
         self.held = 0.0
 
     def __repr__(self):
-        return "asked %d served %d late %d failed %d refused %d held %.3f" % (
-            self.asked,
-            self.served,
-            self.late,
-            self.failed,
-            self.refused,
-            self.held,
-        )
+        words = ["%s %d" % (n, getattr(self, n)) for n in self.__slots__[:-1]]
+        return "%s held %.3f" % (" ".join(words), self.held)
 
 
 class Play:
@@ -185,6 +193,7 @@
         held = now - self.arrived[ask.ask_id]
         if isinstance(answer, messages.Refusal):
             self.tally.refused += 1
+            self.tally.slowly += held > SLOWLY * self.load.target
             self.tally.held = max(self.tally.held, held)
             return
         failed = self._fails(answer.worker_id, now)
@@ -251,7 +260,7 @@
 def print_table():
     """Print what callers got for both users' sizes and several loads."""
     for load in (ORDERS, BOOKINGS, RECORDS, PRICES):
-        for factor in (0.7, 1.0, 1.35, 2.0, 3.0):
+        for factor in (0.7, 1.0, 1.35, 2.0, 2.5, 3.0, 4.0):
             play = Play(load, factor, 1)
             tally = play.run()
             print(load.name, factor, "spells", count_spells(play), tally)
--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -16,6 +16,7 @@
 from acaciafield import timers
 
 DUTY_TIME = 3.0  # seconds that a node coordinates after it was asked to
+ALONE_DUTY_TIME = 0.6  # seconds, after it asked itself
 SWEEP_PERIOD = 1.0  # seconds between sweeps of lost reports
 DISPATCH_PERIOD = 0.02  # seconds between looks at queues that wait
 UNANSWERED_TIME = 2.5  # seconds without coordinators that end readiness
@@ -269,8 +270,8 @@
         out.append(effects.Send(ip, message))
 
 
-def _take_duty(state, now, out):
-    state.duty_until = now + DUTY_TIME
+def _take_duty(state, now, out, time=DUTY_TIME):
+    state.duty_until = max(state.duty_until, now + time)
     if not state.following:
         state.following = True
         out.append(effects.FollowStore(True))
@@ -425,7 +426,7 @@
 
 @_receive.register
 def _receive_ask(message: messages.Ask, state, sender, now, out):
-    _take_duty(state, now, out)
+    _take_duty(state, now, out, DUTY_TIME if sender else ALONE_DUTY_TIME)
     if state.entries is None:
         out.append(effects.Note("ask-early", {"ask": message.ask_id}))
         _seek_workers(state, now, out)
