Send few lists of members, double an ask's time-outs, and look at few waiting requests

Each host that joined made a coordinator send a list of 10 KB to all of its zone, the cube of the number of hosts; each ask went to another coordinator every 120 ms, and each report tried every waiting request against every worker (0.33 ms each).

Ruled out: the restart itself (large hosts coordinate from 31.5 s on) and the store.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -17,6 +17,7 @@
 
 DUTY_TIME = 3.0  # seconds that a node coordinates after it was asked to
 ALONE_DUTY_TIME = 0.6  # seconds, after it asked itself
+PUSH_PERIOD = 0.5  # seconds between lists of members sent unasked
 SWEEP_PERIOD = 1.0  # seconds between sweeps of lost reports
 DISPATCH_PERIOD = 0.02  # seconds between looks at queues that wait
 UNANSWERED_TIME = 2.5  # seconds without coordinators that end readiness
@@ -61,6 +62,7 @@
         "hears_store",
         "answered_at",
         "coordinated",
+        "push_at",
         "config_version",
         "ready",
         "leaving",
@@ -83,6 +85,7 @@
         self.hears_store = True
         self.answered_at = None
         self.coordinated = False
+        self.push_at = 0.0
         self.config_version = 0
         self.ready = False
         self.leaving = False
@@ -385,6 +388,14 @@
 
 
 def _push_list(state, out):
+    """Send the members to those of the zone, but not at each change.
+
+    While many hosts start, that would be the cube of their number; what
+    is left out comes with the answers to the next heartbeats.
+    """
+    if state.now < state.push_at:
+        return
+    state.push_at = state.now + PUSH_PERIOD
     registry = state.registry
     answer = _make_answer(state, registry.list_rows())
     for member, _ in registry.table.values():
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -41,6 +41,7 @@
 CRASH_TERMS = quarantine.Terms(alone=2, together=3, time=15.0, growth=3.0)
 LOAD_DELAY = 0.25  # seconds within which a grant may not have arrived
 IDLE_REFUSAL_WEIGHT = 0.25  # of a failure, as the request can be repeated
+MOST_MISSED = 8  # waiting requests that find no worker in one look
 MOST_WAITING = 2000  # requests in one queue
 
 
@@ -273,7 +274,7 @@
             cost = self._weigh_place(worker, ask, size, now)
             if scouts:
                 cost -= SCOUT_BONUS
-            else:
+            elif best is None or cost < best_cost:
                 cost += self._weigh_risk(worker, ask, risk, now)
             if best is None or cost < best_cost:
                 best, best_cost = worker, cost
@@ -456,11 +457,18 @@
             flight.worker.flights.pop(ask_id, None)
 
     def dispatch(self, now):
-        """Return (sender, ask, answer) for the asks whose turn came."""
-        answers, left = [], []
+        """Return (sender, ask, answer) for the asks whose turn came.
+
+        Where the most urgent ones find no worker, the others are not
+        tried, so that a long queue costs no more than a short one.
+        """
+        answers, left, missed = [], [], 0
         for waiting in self.queue:
-            bearable = waiting.find_bearable(now)
-            worker = self.choose_worker(waiting.ask, now, bearable)
+            worker = None
+            if missed < MOST_MISSED:
+                bearable = waiting.find_bearable(now)
+                worker = self.choose_worker(waiting.ask, now, bearable)
+                missed += worker is None
             if worker is not None:
                 answer = self._grant(waiting.ask, worker, now)
             elif now >= waiting.expires:
--- a/packages/daemon/acaciafield_daemon/gateway/asking.py
+++ b/packages/daemon/acaciafield_daemon/gateway/asking.py
@@ -6,7 +6,7 @@
 from acaciafield.gateway import messages
 
 FIRST_TIMEOUT = 0.06  # seconds; a hop and back with a busy coordinator
-NEXT_TIMEOUT = 0.12  # seconds, where another is asked after it
+MOST_TIMEOUT = 0.5  # seconds, to which that doubles with each silent one
 QUEUED_REFRESH = 0.4  # seconds after which a queued ask is sent again
 
 
@@ -74,7 +74,7 @@
                 answer = await self._ask_one(name, ask, pending, timeout)
                 if answer is not None:
                     return answer
-                timeout = NEXT_TIMEOUT
+                timeout = min(MOST_TIMEOUT, 2.0 * timeout)
         finally:
             del self.pending[ask.ask_id]
             if pending.answer is None:
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -264,3 +264,20 @@
     state = support.make_state()
     state.ready = True
     assert not state.is_serving(1.0)
+
+
+def test_start_of_a_large_fleet_sends_few_lists_of_members():
+    state = support.make_state("n1", weight=2.0)
+    state.start(0.0)
+    count = 60
+    lists = 0
+    for number in range(2, count + 2):
+        joining = support.make_state("n%d" % number)
+        beat = support.make_beat(joining)
+        out = support.receive(state, beat, 0.1 + number * 0.005)
+        lists += sum(
+            1
+            for effect in support.pick(out, effects.Send)
+            if getattr(effect.message, "members", None) is not None
+        )
+    assert lists <= 4 * count
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -1,5 +1,6 @@
 """Granting: placing, queueing and refusing under load and faults."""
 
+from acaciafield.gateway import granting
 from acaciafield.gateway import messages
 from tests import gateway_support as support
 
@@ -196,3 +197,21 @@
     worker.note_good_path("n1")
     worker.note_bad_path("n1", now)
     assert not worker.is_path_bad("n1", now + 3.5)
+
+
+def test_long_queue_costs_a_look_no_more_than_a_short_one(monkeypatch):
+    desk = support.make_desk(2, slots=1)
+    teach(desk, 0.0, latency=0.001)
+    for number in range(2):
+        grant(desk, "run%d:1" % number, 1.0)
+    for number in range(300):
+        grant(desk, "q%d:1" % number, 1.0, target=30.0, left=60.0)
+    assert len(desk.queue) > 100
+    looks = []
+    monkeypatch.setattr(
+        granting.Desk,
+        "choose_worker",
+        lambda self, ask, now, bearable=1.0: looks.append(ask),
+    )
+    desk.dispatch(1.1)
+    assert len(looks) <= 10
