--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 PYTHON ?= python3
 BIN = .venv/bin
 SEED ?= 1
+SECONDS ?= 60
 
 .PHONY: setup demo test lint format generate matrix matrix-processes
-.PHONY: bench-overhead bench-detection bench-load bench-capacity
+.PHONY: soak bench-overhead bench-detection bench-load bench-capacity
 
 setup: .venv/.installed
 
@@ -52,3 +53,6 @@
 
 bench-capacity: setup
 	$(BIN)/python -m bench.capacity
+
+soak: setup
+	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
