--- a/bench/soak.py
+++ b/bench/soak.py
@@ -26,10 +26,9 @@
 DEADLINE = 2.0  # seconds that a caller waits
 VALIDITY = 2.0  # seconds for which a caller keeps addresses
 ORDER_SHARE = 0.6  # share of the requests that may run once at most
-CALM_TIME = 6.0  # seconds without faults at the end
-SETTLED_TIME = 4.0  # of these, seconds after which requests must be served
+SETTLED_TIME = 4.0  # seconds without faults after which all must be served
+CALM_LEAVERS = 3  # workers that leave in the calm time at the end
 SERVED_SHARE = 0.95  # of the requests of the settled time
-APPLY_TIME = 2.0  # seconds until a change is in force, as the pages bind
 DRAIN_TIME = 2.0  # seconds until a leaving worker gets nothing, likewise
 TOUCH_TIME = 3.0  # seconds without disruption that bind a node, likewise
 
@@ -130,6 +129,7 @@
     def __init__(self, soak, number):
         self.soak = soak
         self.number = number
+        self.random = random.Random(soak.seed * CALLERS + number)
         self.count = 0
         self.addresses = []
         self.until = 0.0
@@ -147,7 +147,7 @@
         now = self.soak.clock()
         if now < self.until:
             return
-        node = self.soak.random.choice(self.soak.fleet.nodes)
+        node = self.random.choice(self.soak.fleet.nodes)
         url = "http://%s/-/resolve?name=a&region=r&zone=%s"
         timeout = aiohttp.ClientTimeout(total=1.0)
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
@@ -163,8 +163,8 @@
         soak = self.soak
         self.count += 1
         request_id = "c%d-%d" % (self.number, self.count)
-        order = soak.random.random() < ORDER_SHARE
-        address = soak.random.choice(self.addresses)
+        order = self.random.random() < ORDER_SHARE
+        address = self.random.choice(self.addresses)
         body = hashlib.sha256(request_id.encode()).digest() * 20
         sent = Sent(request_id, order, address, soak.clock(), 0.0, 0, False)
         try:
@@ -195,6 +195,7 @@
     """One soak: a fleet, its store and workers, callers and faults."""
 
     def __init__(self, seed, seconds, count):
+        self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         self.count = count
@@ -223,7 +224,10 @@
             await self._disturb()
             await asyncio.gather(*self._tasks)
             calm_at = self.clock()
-            await asyncio.sleep(CALM_TIME)
+            await asyncio.sleep(SETTLED_TIME)
+            for _ in range(CALM_LEAVERS):
+                self._begin(FAULTS["replace"](self))
+            await asyncio.gather(*self._tasks)
             for task in (*callers, watch):
                 task.cancel()
             await asyncio.gather(*callers, watch, return_exceptions=True)
@@ -252,11 +256,14 @@
         while self.clock() < end:
             name = self.random.choice(sorted(FAULTS))
             self.record.actions[name] += 1
-            task = asyncio.ensure_future(self._play(name))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._begin(self._play(name))
             await asyncio.sleep(self.random.uniform(0.2, 1.2))
 
+    def _begin(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _play(self, name):
         began = self.clock()
         place = len(self.record.disturbed)
@@ -265,8 +272,7 @@
             self.record.disturbed.append((began, began + self.seconds))
         await FAULTS[name](self)
         if disturbs:
-            span = (began, self.clock() + TOUCH_TIME)
-            self.record.disturbed[place] = span
+            self.record.disturbed[place] = (began, self.clock())
 
     def _find_unserved(self, start):
         late = [s for s in self.record.sent if s.began >= start]
