--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -282,12 +282,18 @@
         _seek_workers(state, now, out)
 
 
+def _list_others(state, now):
+    """Return the coordinators besides this node."""
+    return [
+        contact
+        for contact in state.view.list_coordinators(now)
+        if contact.member.name != state.own.name
+    ]
+
+
 def _seek_workers(state, now, out):
     """Ask another coordinator, as the store may not answer."""
-    for zone in state.view.list_zones():
-        contact = state.view.find_coordinator(zone, now)
-        if contact is None or contact.member.name == state.own.name:
-            continue
+    for contact in _list_others(state, now):
         if contact.heard_at is not None and contact.store_age is not None:
             out.append(effects.FetchWorkers(contact.member.ip))
             return
@@ -469,10 +475,8 @@
         ask.repeats,
         ask.fingerprint,
     )
-    for zone in state.view.list_zones():
-        contact = state.view.find_coordinator(zone, state.now)
-        if contact is not None and contact.member.name != state.own.name:
-            out.append(effects.Send(contact.member.ip, granted))
+    for contact in _list_others(state, state.now):
+        out.append(effects.Send(contact.member.ip, granted))
 
 
 def _describe_decision(answer, ask, state):
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -212,6 +212,11 @@
                 best, best_grade = contact, grade
         return best
 
+    def list_coordinators(self, now):
+        """Return the contact that coordinates each zone, own zone first."""
+        found = [self.find_coordinator(z, now) for z in self.list_zones()]
+        return [contact for contact in found if contact is not None]
+
     def list_targets(self, now):
         """Return the contacts to send a heartbeat to now."""
         found = []
@@ -245,10 +250,7 @@
         The node itself comes last if it may decide ``alone``.
         """
         chosen, resting = {}, {}
-        for zone in self.list_zones():
-            contact = self.find_coordinator(zone, now)
-            if contact is None:
-                continue
+        for contact in self.list_coordinators(now):
             rests = contact.ask_rest > now or contact.is_silent(now)
             table = resting if rests else chosen
             table[contact.member.name] = contact
--- a/packages/daemon/acaciafield_daemon/gateway/asking.py
+++ b/packages/daemon/acaciafield_daemon/gateway/asking.py
@@ -110,12 +110,9 @@
 
     def tell_coordinators(self, message, granter=None):
         """Send a message to the granter and each zone's coordinator."""
-        now = self.clock()
-        view = self.state.view
-        names = {granter} if granter else set()
-        for zone in view.list_zones():
-            contact = view.find_coordinator(zone, now)
-            if contact is not None:
-                names.add(contact.member.name)
+        contacts = self.state.view.list_coordinators(self.clock())
+        names = {contact.member.name for contact in contacts}
+        if granter:
+            names.add(granter)
         for name in sorted(names):
             self.send(name, message)
