Enter and drop flights, and count sends, in one place each

A flight stood in two tables that were kept equal at six places, and a send was counted by the same four lines twice.

--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -180,8 +180,7 @@
             flight = Flight(
                 ask_id, node, route, now - age, now + left, repeats, worker
             )
-            worker.flights[ask_id] = flight
-            self.flights[ask_id] = flight
+            self._enter_flight(flight)
 
     def decide(self, ask, sender, now):
         """Return a Grant, Queued or Refusal for an ask."""
@@ -318,12 +317,15 @@
         return weight * max(risk, hang)
 
     def _grant(self, ask, worker, now):
-        if ask.repeats:
+        self._count_send(ask, now)
+        self._add_flight(ask, worker, now)
+        return self._make_grant(ask, worker)
+
+    def _count_send(self, message, now):
+        if message.repeats:
             self.budget.add_repeat(now)
         else:
             self.budget.add_first(now)
-        self._add_flight(ask, worker, now)
-        return self._make_grant(ask, worker)
 
     def _add_flight(self, ask, worker, now):
         flight = Flight(
@@ -335,8 +337,16 @@
             ask.repeats,
             worker,
         )
-        worker.flights[ask.ask_id] = flight
-        self.flights[ask.ask_id] = flight
+        self._enter_flight(flight)
+
+    def _enter_flight(self, flight):
+        flight.worker.flights[flight.ask_id] = flight
+        self.flights[flight.ask_id] = flight
+
+    def _drop_flight(self, ask_id):
+        flight = self.flights.pop(ask_id, None)
+        if flight is not None:
+            flight.worker.flights.pop(ask_id, None)
 
     def _make_grant(self, ask, worker):
         latency = self._find_latency(ask.route, ask.target)
@@ -371,18 +381,13 @@
         if message.ask_id in self.flights:
             return
         worker = self.workers.get(message.worker_id)
-        if message.repeats:
-            self.budget.add_repeat(now)
-        else:
-            self.budget.add_first(now)
+        self._count_send(message, now)
         if worker is not None:
             self._add_flight(message, worker, now)
 
     def take_report(self, report, now):
         """Learn how an attempt ended."""
-        flight = self.flights.pop(report.ask_id, None)
-        if flight is not None:
-            flight.worker.flights.pop(report.ask_id, None)
+        self._drop_flight(report.ask_id)
         worker = self.workers.get(report.worker_id)
         if worker is None:
             return
@@ -408,8 +413,7 @@
             return
         old.sort(key=lambda flight: flight.started)
         for flight in old[:excess]:
-            del worker.flights[flight.ask_id]
-            self.flights.pop(flight.ask_id, None)
+            self._drop_flight(flight.ask_id)
 
     def _judge(self, worker, report, alone, now):
         ending = Ending(report.ending)
@@ -452,9 +456,7 @@
     def withdraw(self, ask_id):
         """Forget an ask that is of no use any longer."""
         self.queue = [w for w in self.queue if w.ask.ask_id != ask_id]
-        flight = self.flights.pop(ask_id, None)
-        if flight is not None:
-            flight.worker.flights.pop(ask_id, None)
+        self._drop_flight(ask_id)
 
     def dispatch(self, now):
         """Return (sender, ask, answer) for the asks whose turn came.
@@ -488,5 +490,4 @@
         slack = backends.FLIGHT_SLACK
         for ask_id, flight in list(self.flights.items()):
             if now > flight.expires + slack:
-                del self.flights[ask_id]
-                flight.worker.flights.pop(ask_id, None)
+                self._drop_flight(ask_id)
