--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -325,20 +325,16 @@
     def _answer_failure(self, call, last):
         names = self.options.headers
         request_id = call.message.request_id
-        if isinstance(last, upstream.Result) and (
-            last.ending is Ending.FAILED
-        ):
+        if may_have_run(last):
+            if last.ending is not Ending.FAILED:
+                self._note_end(call, "unknown", 502)
+                return make_problem(502, request_id, names)
             self._note_end(call, "failed", last.status)
             return web.Response(
                 status=last.status,
                 headers=filter_headers(last.headers),
                 body=last.body,
             )
-        if isinstance(last, upstream.Result) and (
-            last.ending not in attempts.NOT_RUN_ENDINGS
-        ):
-            self._note_end(call, "unknown", 502)
-            return make_problem(502, request_id, names)
         after = OVERLOAD_RETRY
         if isinstance(last, Refused):
             after = last.retry_after
@@ -374,13 +370,18 @@
     """Return which of two failures tells the caller more truth."""
     if isinstance(last, upstream.Result) and isinstance(result, Refused):
         return last
-    if isinstance(last, upstream.Result):
-        if last.ending not in attempts.NOT_RUN_ENDINGS:
-            if result.ending is not Ending.FAILED:
-                return last
+    if may_have_run(last) and result.ending is not Ending.FAILED:
+        return last
     return result
 
 
+def may_have_run(result):
+    """Tell whether a worker may have run the attempt of a result."""
+    if not isinstance(result, upstream.Result):
+        return False
+    return result.ending not in attempts.NOT_RUN_ENDINGS
+
+
 def make_problem(status, request_id, names, retry_after=None):
     """Return an answer of the gateway's own."""
     headers = {}
