--- a/bench/soak.py
+++ b/bench/soak.py
@@ -17,110 +17,17 @@
 
 import aiohttp
 
-from acaciafield import structs
 from bench import soak_fleet
+from bench import soak_record
 from standins import store
 
 CALLERS = 24  # callers at the same time
 PAUSE = 0.05  # seconds between two requests of a caller
-DEADLINE = 2.0  # seconds that a caller waits
 VALIDITY = 2.0  # seconds for which a caller keeps addresses
 ORDER_SHARE = 0.6  # share of the requests that may run once at most
 SETTLED_TIME = 4.0  # seconds without faults after which all must be served
 CALM_LEAVERS = 3  # workers that leave in the calm time at the end
 SERVED_SHARE = 0.95  # of the requests of the settled time
-DRAIN_TIME = 2.0  # seconds until a leaving worker gets nothing, likewise
-TOUCH_TIME = 3.0  # seconds without disruption that bind a node, likewise
-
-
-class Sent(structs.Struct):
-    """A request and what its caller got; times in seconds.
-
-    ``status`` is 0 for a connection that ended without an answer, and
-    ``address`` that of the node.
-    """
-
-    __slots__ = (
-        "request_id",
-        "order",
-        "address",
-        "began",
-        "ended",
-        "status",
-        "whole",
-    )
-
-
-class Record:
-    """Everything that callers and workers saw in one soak."""
-
-    def __init__(self):
-        self.sent = []
-        self.runs = collections.defaultdict(list)
-        self.disturbed = []
-        self.drained = {}
-        self.stops = []
-        self.versions = collections.defaultdict(list)
-        self.actions = collections.Counter()
-
-    def is_calm(self, start, end):
-        """Tell whether nothing was disturbed between two times."""
-        return not any(a < end and b > start for a, b in self.disturbed)
-
-    def find_broken(self):
-        """Return a line for each broken promise."""
-        return [
-            *self._find_mixed(),
-            *self._find_twice(),
-            *self._find_lies(),
-            *self._find_late_work(),
-            *self._find_cut(),
-            *self._find_reverted(),
-        ]
-
-    def _find_mixed(self):
-        for sent in self.sent:
-            if sent.status == 200 and not sent.whole:
-                yield "%s got another answer" % sent.request_id
-
-    def _find_twice(self):
-        for sent in self.sent:
-            count = len(self.runs.get(sent.request_id, ()))
-            if sent.order and count > 1:
-                yield "%s ran %d times" % (sent.request_id, count)
-
-    def _find_lies(self):
-        for sent in self.sent:
-            if sent.order and sent.status in (408, 421, 429, 503):
-                if sent.request_id in self.runs:
-                    yield "%s was refused and ran" % sent.request_id
-
-    def _find_late_work(self):
-        for request_id, found in self.runs.items():
-            for worker_id, at in found:
-                left = self.drained.get(worker_id)
-                if left is None or at <= left + DRAIN_TIME:
-                    continue
-                if self.is_calm(left - TOUCH_TIME, at):
-                    yield "%s reached %s, which had left" % (
-                        request_id,
-                        worker_id,
-                    )
-
-    def _find_cut(self):
-        for sent in self.sent:
-            if sent.status or sent.request_id not in self.runs:
-                continue
-            for address, start, end in self.stops:
-                if sent.address != address or not start < sent.ended < end:
-                    continue
-                if sent.ended - sent.began < DEADLINE:
-                    yield "%s was cut by a stop" % sent.request_id
-
-    def _find_reverted(self):
-        for process, found in self.versions.items():
-            if found != sorted(found):
-                yield "%s went back: %s" % (process, found)
 
 
 class Caller:
@@ -166,7 +73,9 @@
         order = self.random.random() < ORDER_SHARE
         address = self.random.choice(self.addresses)
         body = hashlib.sha256(request_id.encode()).digest() * 20
-        sent = Sent(request_id, order, address, soak.clock(), 0.0, 0, False)
+        sent = soak_record.Sent(
+            request_id, order, address, soak.clock(), 0.0, 0, False
+        )
         try:
             async with session.request(
                 "POST" if order else "GET",
@@ -175,9 +84,13 @@
                 headers={
                     "Host": soak_fleet.HOSTNAME,
                     "Acaciafield-Request-Id": request_id,
-                    "Acaciafield-Deadline-Ms": str(int(DEADLINE * 1000)),
+                    "Acaciafield-Deadline-Ms": str(
+                        int(soak_record.DEADLINE * 1000)
+                    ),
                 },
-                timeout=aiohttp.ClientTimeout(total=DEADLINE + 0.5),
+                timeout=aiohttp.ClientTimeout(
+                    total=soak_record.DEADLINE + 0.5
+                ),
             ) as response:
                 content = await response.read()
                 wanted = soak_fleet.make_answer(request_id)
@@ -199,7 +112,7 @@
         self.random = random.Random(seed)
         self.seconds = seconds
         self.count = count
-        self.record = Record()
+        self.record = soak_record.Record()
         self.store = store.StoreServer()
         self.fleet = None
         self.clock = None
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -25,7 +25,7 @@
 LEAVE_TIME = 5.0  # seconds that a leaving worker goes on serving
 SLOTS = 4
 WORKERS = 5  # of each service
-SERVICES = ("orders", "reads")
+KINDS = {"orders": "unsafe", "reads": "safe"}  # of requests, by service
 WORKER_FAULTS = ("errors", "reset", "hang", "shed", "extra")
 PORTS = {"front": 0, "readiness": 1, "directory": 2, "control": 3}
 FIRST_PORT = 21000  # of the ports that each node has on its own address
@@ -65,28 +65,22 @@
 
 def make_configuration(version):
     """Return the platform's document of a configuration."""
-    rows = [
-        [name, HOSTNAME, "/%s/" % name, kind, 2000, 500, 1, name, 2]
-        for name, kind in (("orders", "unsafe"), ("reads", "safe"))
+    routes = [
+        {
+            "name": service,
+            "hostname": HOSTNAME,
+            "pathPrefix": "/%s/" % service,
+            "kind": kind,
+            "timeoutMs": 2000,
+            "targetLatencyMs": 500,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2,
+        }
+        for service, kind in KINDS.items()
     ]
-    return {
-        "version": version,
-        "routes": {
-            "columns": [
-                "name",
-                "hostname",
-                "pathPrefix",
-                "kind",
-                "timeoutMs",
-                "targetLatencyMs",
-                "priority",
-                "service",
-                "maxAttempts",
-            ],
-            "rows": rows,
-        },
-        "services": {"columns": ["name"], "rows": [[s] for s in SERVICES]},
-    }
+    services = [{"name": service} for service in KINDS]
+    return {"version": version, "routes": routes, "services": services}
 
 
 def find_network():
@@ -268,7 +262,7 @@
         """Hold all processes and stand-ins."""
         listeners = []
         try:
-            for service in SERVICES:
+            for service in KINDS:
                 for _ in range(WORKERS):
                     await self._add_worker(service)
             for number in range(1, self.soak.count + 1):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bench import soak
+from bench import soak_record
 
 SEED = 1
 SECONDS = 6.0
@@ -19,11 +20,11 @@
         "status": 200,
         "whole": True,
     }
-    return soak.Sent(**(values | fields))
+    return soak_record.Sent(**(values | fields))
 
 
 def make_record(*sent, **fields):
-    record = soak.Record()
+    record = soak_record.Record()
     record.sent.extend(sent)
     for name, value in fields.items():
         getattr(record, name).update(value)
