Read uploads, and let an unreadable part of a configuration spare the rest

Change: uploads run once at most, as does every kind that is not known; each field that cannot be read is a finding in the line about the configuration; a route that callers can still reach refuses them instead of falling through to a shorter prefix; a version unreadable as a whole leaves the earlier one. Tests: tests/test_platform.py and tests/test_gateway_node.py, which failed before.

--- a/packages/coordination/acaciafield/gateway/routes.py
+++ b/packages/coordination/acaciafield/gateway/routes.py
@@ -13,13 +13,18 @@
     SAFE = "safe"
     UNSAFE = "unsafe"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
+
+
+IDEMPOTENT_KINDS = frozenset((Kind.SAFE, Kind.DOWNLOAD))
 
 
 class Route(structs.Struct):
     """One route of a configuration.
 
     ``timeout`` and ``target`` are in seconds; ``split`` is a list of
-    (service, weight); ``priority`` 0 is the most urgent.
+    (service, weight), empty where the route could not be read and its
+    requests must be refused; ``priority`` 0 is the most urgent.
     """
 
     __slots__ = (
@@ -37,7 +42,7 @@
     @property
     def idempotent(self):
         """Whether a request may run more than once."""
-        return self.kind is not Kind.UNSAFE
+        return self.kind in IDEMPOTENT_KINDS
 
     def choose_service(self, request_id):
         """Return the service of a request, in proportion to weights.
@@ -75,16 +80,25 @@
     """One version of the routes, ready for look-up.
 
     A look-up takes one probe for each length of prefix that the host
-    has, whatever the number of routes.
+    has, whatever the number of routes. ``findings`` says which parts
+    could not be read, a line of text each.
     """
 
-    __slots__ = ("version", "services", "limits", "routes", "_hosts")
+    __slots__ = (
+        "version",
+        "services",
+        "limits",
+        "routes",
+        "findings",
+        "_hosts",
+    )
 
-    def __init__(self, version, routes, services, limits):
+    def __init__(self, version, routes, services, limits, findings=()):
         self.version = version
         self.services = services
         self.limits = limits
         self.routes = routes
+        self.findings = list(findings)
         self._hosts = {}
         for route in routes:
             tables = self._hosts.setdefault(route.hostname.lower(), {})
--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -123,6 +123,8 @@
                 version=configuration.version,
             )
             return make_problem(404, request_id, names)
+        if not route.split:
+            return self._refuse(request_id, "route-unreadable", UNREADY_RETRY)
         body = await read_body(request, configuration.limits.body_size)
         if body is None:
             return make_problem(413, request_id, names)
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -34,6 +34,7 @@
 CLOSE_SHARE = 0.4  # of the grace after which idle connections are closed
 EXIT_SLACK = 0.4  # seconds before the end of the grace to exit
 STOP_PAUSE = 0.05  # seconds
+MOST_FINDINGS = 20  # findings of one configuration in the log
 MOST_FETCHES = 3  # documents fetched from other nodes at the same time
 
 
@@ -248,7 +249,11 @@
         known = self.entry.configuration
         configuration = self.store.decode_configuration(raw)
         if configuration is None:
-            self.log.write("configuration-unreadable", size=len(raw))
+            self.log.write(
+                "configuration-unreadable",
+                size=len(raw),
+                version=known.version if known else None,
+            )
             return
         if known is not None and configuration.version <= known.version:
             return
@@ -260,6 +265,8 @@
             version=configuration.version,
             before=known.version if known else None,
             routes=len(configuration.routes),
+            findings=configuration.findings[:MOST_FINDINGS],
+            unreadable=len(configuration.findings),
         )
         self._feed(events.ConfigurationHeld, configuration.version)
 
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -285,6 +285,30 @@
     play(steps)
 
 
+def test_route_that_cannot_be_read_refuses_and_others_serve():
+    async def steps(rig):
+        status, headers, _ = await rig.call("POST", "/a/x", "a.example")
+        assert status == 503
+        assert "Retry-After" in headers
+        assert (await rig.call())[0] == 200
+
+    broken = test_platform.change_route(timeoutMs="soon")
+    play(steps, configuration=broken)
+
+
+def test_unreadable_version_leaves_the_earlier_one_in_force():
+    async def steps(rig):
+        version = rig.node.entry.configuration.version
+        rig.server.put("keyed.op", "config", b"junk")
+        rig.server.put("keyed.op", "config", {"version": version + 1})
+        rig.node.take_configuration(b"junk")
+        await asyncio.sleep(0.3)
+        assert rig.node.entry.configuration.version == version
+        assert (await rig.call())[0] == 200
+
+    play(steps)
+
+
 def test_node_without_a_configuration_answers_503():
     async def steps(rig):
         while True:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -134,6 +134,72 @@
     assert documents.decode_configuration(raw) is None
 
 
+def change_route(**fields):
+    """Return the document with fields of its first route changed."""
+    table = CONFIGURATION["routes"]
+    names, first = table["columns"], list(table["rows"][0])
+    for name, value in fields.items():
+        first[names.index(name)] = value
+    rows = [first, table["rows"][1]]
+    return CONFIGURATION | {"routes": {"columns": names, "rows": rows}}
+
+
+@pytest.mark.parametrize("kind", ["unsafe", "upload"])
+def test_orders_and_uploads_run_once_at_most(kind):
+    raw = orjson.dumps(change_route(kind=kind))
+    found = documents.decode_configuration(raw)
+    assert not found.find_route("a.example", "/a/").idempotent
+    assert found.findings == []
+
+
+@pytest.mark.parametrize("kind", ["telepathy", None, 7])
+def test_unknown_kind_runs_once_at_most_and_is_reported(kind):
+    raw = orjson.dumps(change_route(kind=kind))
+    found = documents.decode_configuration(raw)
+    assert not found.find_route("a.example", "/a/").idempotent
+    assert found.find_route("b.example", "/b/").idempotent
+    (finding,) = found.findings
+    assert "r1" in finding and "kind" in finding
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"timeoutMs": "soon"},
+        {"service": 4},
+        {"trafficSplit": [{"service": "s1"}]},
+        {"trafficSplit": [{"service": "s1", "weight": 0}]},
+        {"trafficSplit": 3},
+    ],
+)
+def test_route_that_cannot_be_read_refuses_and_spares_the_others(fields):
+    raw = orjson.dumps(change_route(**fields))
+    found = documents.decode_configuration(raw)
+    assert found.find_route("a.example", "/a/x").split == []
+    assert found.find_route("b.example", "/b/x").split
+    assert len(found.findings) == 1
+
+
+@pytest.mark.parametrize("fields", [{"hostname": 3}, {"pathPrefix": None}])
+def test_route_without_a_place_is_left_out(fields):
+    found = documents.decode_configuration(
+        orjson.dumps(change_route(**fields))
+    )
+    assert [route.name for route in found.routes] == ["r2"]
+    assert len(found.findings) == 1
+
+
+def test_bad_service_and_limit_spare_the_others():
+    services = {"columns": ["name"], "rows": [[4], ["s2"], 7]}
+    change = {"services": services, "limits": {"maxBodyBytes": "many"}}
+    found = documents.decode_configuration(
+        orjson.dumps(CONFIGURATION | change)
+    )
+    assert list(found.services) == ["s2"]
+    assert found.limits.body_size == documents.DEFAULT_BODY
+    assert len(found.findings) == 3
+
+
 def test_settings_are_read_and_findings_come_together(tmp_path):
     path = tmp_path / "settings.toml"
     path.write_text(
