Bound what callers' bodies and workers' answers may hold, in bytes and time

Cause: an answer without end was held to 4 MiB an attempt with no bound on all of a node, then passed on without a limit of time; a failure of over 4 MiB reached the caller as its first part, well formed; a caller's body and head were bound by size only. Change: all answers of a node hold 16 MiB at most, a connection buffers 32 KiB, a failure is passed on whole (up to 256 KiB) or not at all; an answer that is streamed ends at the caller's deadline with a reset, and breaking off counts against its worker, as does one without end unless the caller was slow to read. Bodies take 0.4 of a host's memory together, refused with 503 before they are read beyond that, with 408 at the route's time or an idle time-out; a head has the operator's time. Ports of tests lie below the system's own, as one test failed on a port that a connection had just got.

--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -3,13 +3,14 @@
 import asyncio
 
 from aiohttp import web
-import multidict
 import xxhash
 
 from acaciafield.gateway import attempts
 from acaciafield.gateway import messages
 from acaciafield import outcomes
 from acaciafield import structs
+from acaciafield_daemon.gateway import answers
+from acaciafield_daemon.gateway import bodies
 from acaciafield_daemon.gateway import upstream
 
 Ending = outcomes.Ending
@@ -19,6 +20,7 @@
 LATE_SLACK = 0.1  # seconds past the time-out in which the worker's own
 # answer to its deadline may still come
 HOLD_SHARE = 0.5  # share of the target that asking for a worker may take
+BODY_SHARE = 0.4  # of a host's memory that callers' bodies may take
 LEAST_HOLD = 0.3  # seconds that asking may take at least
 UNREADY_RETRY = 1.0  # seconds after which an unready node may be asked again
 OVERLOAD_RETRY = 0.3  # seconds, where no coordinator named a time
@@ -34,7 +36,9 @@
     """One request of a caller while it is served.
 
     ``limit`` is the time of this process's clock at which the caller
-    or the route gives up.
+    or the route gives up, ``caller_limit`` that of the caller alone.
+    ``sends`` lists the ask, grant and upstream.Result of each attempt
+    that came to an end.
     """
 
     __slots__ = (
@@ -43,6 +47,7 @@
         "service",
         "started",
         "limit",
+        "caller_limit",
         "fingerprint",
         "progress",
         "avoid",
@@ -50,14 +55,16 @@
         "hedge_after",
         "sent_at",
         "sent",
+        "sends",
     )
 
-    def __init__(self, message, route, started, limit, fingerprint):
+    def __init__(self, message, route, started, left, fingerprint):
         self.message = message
         self.route = route
         self.service = route.choose_service(message.request_id)
         self.started = started
-        self.limit = limit
+        self.limit = started + min(left, route.timeout)
+        self.caller_limit = started + left
         self.fingerprint = fingerprint
         self.progress = attempts.Progress(
             route.idempotent, route.most_attempts
@@ -67,6 +74,7 @@
         self.hedge_after = None
         self.sent_at = None
         self.sent = asyncio.Event()
+        self.sends = []
 
 
 class Entry:
@@ -82,6 +90,7 @@
         "configuration",
         "leaving",
         "active",
+        "bodies",
     )
 
     def __init__(self, options, clock, log, meters, upstream_, asker):
@@ -94,6 +103,8 @@
         self.configuration = None
         self.leaving = False
         self.active = 0
+        room = int(BODY_SHARE * options.memory)
+        self.bodies = bodies.Bodies(room, clock)
 
     async def answer(self, request):
         """Answer a caller's request."""
@@ -101,6 +112,13 @@
         self.active += 1
         try:
             response = await self._answer(request, started)
+        except asyncio.CancelledError:
+            self.log.write(
+                "caller-left",
+                request=request.headers.get(self.options.headers.request_id),
+                after=round(self.clock() - started, 3),
+            )
+            raise
         finally:
             self.active -= 1
         if self.leaving:
@@ -122,23 +140,37 @@
                 request=request_id,
                 version=configuration.version,
             )
-            return make_problem(404, request_id, names)
+            return answers.make_problem(404, request_id, names)
         if not route.split:
             return self._refuse(request_id, "route-unreadable", UNREADY_RETRY)
-        body = await read_body(request, configuration.limits.body_size)
-        if body is None:
-            return make_problem(413, request_id, names)
-        message = upstream.Message(
-            request.method,
-            target,
-            filter_headers(request.headers),
-            body,
-            request_id,
-        )
         left = read_deadline(request.headers.get(names.deadline_ms))
-        limit = started + min(left, route.timeout)
-        call = Call(message, route, started, limit, fingerprint(request, body))
-        return await self._serve(call, request)
+        until = started + min(left, route.timeout)
+        body = await self.bodies.read(request, configuration.limits, until)
+        if isinstance(body, bodies.Refusal):
+            return self._refuse_body(request_id, body.status)
+        try:
+            message = upstream.Message(
+                request.method,
+                target,
+                answers.filter_headers(request.headers),
+                body,
+                request_id,
+            )
+            digest = fingerprint(request, body)
+            call = Call(message, route, started, left, digest)
+            return await self._serve(call, request)
+        finally:
+            self.bodies.release(body)
+
+    def _refuse_body(self, request_id, status):
+        """Refuse a request whose body was not read to its end."""
+        self.log.write("body-refused", request=request_id, status=status)
+        after = OVERLOAD_RETRY if status == bodies.NO_ROOM else None
+        response = answers.make_problem(
+            status, request_id, self.options.headers, after
+        )
+        response.force_close()
+        return response
 
     async def _serve(self, call, request):
         running = set()
@@ -164,6 +196,10 @@
         finally:
             for task in running:
                 task.cancel()
+            for ask, grant, result in call.sends:
+                if result.rest is not None:
+                    self._report(call, ask, grant, result)
+                self.upstream.release(result)
 
     async def _wait(self, call, running):
         """Wait for an attempt's end, a hedge or the limit."""
@@ -258,7 +294,10 @@
         finally:
             if result.ending is Ending.CANCELLED:
                 result.latency = self.clock() - started
-            self._report(call, ask, grant, result)
+            call.sends.append((ask, grant, result))
+            # An answer that is still coming is reported when it is over.
+            if result.rest is None:
+                self._report(call, ask, grant, result)
         return result
 
     def _report(self, call, ask, grant, result):
@@ -273,7 +312,7 @@
             call.route.name,
             result.ending.value,
             round(result.latency, 3),
-            len(result.body) if result.body else 0,
+            result.size,
             result.load,
             call.fingerprint,
         )
@@ -290,39 +329,21 @@
         )
 
     async def _pass_on(self, call, result, request):
-        self._note_end(call, "passed", result.status)
-        headers = filter_headers(result.headers)
-        if result.rest is None:
-            return web.Response(
-                status=result.status, headers=headers, body=result.body
-            )
-        return await self._stream(result, headers, request)
-
-    async def _stream(self, result, headers, request):
-        """Pass on an answer that is too large to hold back."""
-        length = result.headers.get("Content-Length")
-        response = web.StreamResponse(status=result.status, headers=headers)
-        if length is not None:
-            response.content_length = int(length)
-        try:
-            await response.prepare(request)
-            await response.write(result.body)
-            async for part in result.rest.content.iter_any():
-                await response.write(part)
-            await response.write_eof()
-        except BaseException:
-            if request.transport is not None:
-                request.transport.abort()
-            raise
-        finally:
-            result.rest.close()
+        response = await answers.pass_on(
+            result, request, self.clock, call.caller_limit
+        )
+        passed = result.ending is Ending.ANSWERED
+        outcome = "passed" if passed else "broken-off"
+        self._note_end(call, outcome, result.status)
         return response
 
     def _give_up(self, call, last):
         if call.sent_at is None:
             return self._answer_failure(call, last)
         self._note_end(call, "timeout", 504)
-        return make_problem(504, call.message.request_id, self.options.headers)
+        return answers.make_problem(
+            504, call.message.request_id, self.options.headers
+        )
 
     def _answer_failure(self, call, last):
         names = self.options.headers
@@ -330,23 +351,25 @@
         if may_have_run(last):
             if last.ending is not Ending.FAILED:
                 self._note_end(call, "unknown", 502)
-                return make_problem(502, request_id, names)
+                return answers.make_problem(502, request_id, names)
             self._note_end(call, "failed", last.status)
             return web.Response(
                 status=last.status,
-                headers=filter_headers(last.headers),
+                headers=answers.filter_headers(last.headers),
                 body=last.body,
             )
         after = OVERLOAD_RETRY
         if isinstance(last, Refused):
             after = last.retry_after
         self._note_end(call, "refused", 503)
-        return make_problem(503, request_id, names, after)
+        return answers.make_problem(503, request_id, names, after)
 
     def _refuse(self, request_id, reason, retry_after):
         self.meters.count("refused", reason=reason)
         self.log.write("refused", request=request_id, reason=reason)
-        return make_problem(503, request_id, self.options.headers, retry_after)
+        return answers.make_problem(
+            503, request_id, self.options.headers, retry_after
+        )
 
     def _note_end(self, call, outcome, status):
         latency = self.clock() - call.started
@@ -384,41 +407,6 @@
     return result.ending not in attempts.NOT_RUN_ENDINGS
 
 
-def make_problem(status, request_id, names, retry_after=None):
-    """Return an answer of the gateway's own."""
-    headers = {}
-    if request_id:
-        headers[names.request_id] = request_id
-    if retry_after is not None:
-        headers["Retry-After"] = "%.2f" % retry_after
-    return web.Response(status=status, headers=headers, text="")
-
-
-def filter_headers(headers):
-    """Return the fields that concern more than one connection."""
-    named = headers.get("Connection", "").lower()
-    dropped = {name.strip() for name in named.split(",")}
-    kept = multidict.CIMultiDict()
-    for name, value in headers.items():
-        low = name.lower()
-        if low not in upstream.HOP_BY_HOP and low not in dropped:
-            kept.add(name, value)
-    return kept
-
-
-async def read_body(request, most):
-    """Return the whole body of a request, or None if it is too large."""
-    if not request.body_exists:
-        return b""
-    parts, size = [], 0
-    async for part in request.content.iter_any():
-        size += len(part)
-        if size > most:
-            return None
-        parts.append(part)
-    return b"".join(parts)
-
-
 def read_deadline(text):
     """Return a deadline field's seconds.
 
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -20,6 +20,7 @@
 from acaciafield_daemon.gateway import decisions
 from acaciafield_daemon.gateway import entry as entries
 from acaciafield_daemon.gateway import feeds
+from acaciafield_daemon.gateway import listeners
 from acaciafield_daemon.gateway import meters
 from acaciafield_daemon.gateway import peers
 from acaciafield_daemon.gateway import upstream
@@ -27,8 +28,6 @@
 VALIDITY = 2  # seconds for which callers keep addresses
 LEAST_ADDRESSES = 3  # below that, addresses of all zones are given
 MOST_ADDRESSES = 64  # in one answer to callers
-KEEPALIVE = 90.0  # seconds; longer than callers reuse connections
-MOST_HEAD = 65536  # bytes of one line or field of a caller's request
 START_PAUSE = 0.3  # seconds after the first try to learn of the fleet
 MOST_START_PAUSE = 2.0  # seconds, to which the pause doubles
 CLOSE_SHARE = 0.4  # of the grace after which idle connections are closed
@@ -84,6 +83,7 @@
         self.feeds = feeds.Feeds(store, self.clock, self.log, self)
         self.stopping = asyncio.Event()
         self._listeners = []
+        self._front = listeners.CallerServer(self.entry.answer)
         self._fetching = 0
         self._alarm = alarms.Alarm(loop, self._tick)
 
@@ -100,27 +100,20 @@
             await stack.enter_async_context(self.peers.open())
             await self._listen()
             self._flush_log()
-            learning = asyncio.ensure_future(self._learn_fleet())
+            tasks = [
+                asyncio.ensure_future(self._learn_fleet()),
+                asyncio.ensure_future(self._front.sweep()),
+            ]
             await self.stopping.wait()
-            learning.cancel()
+            for task in tasks:
+                task.cancel()
             await self._stop()
         self.log.write("stop", active=self.entry.active)
         self.log.flush()
 
     async def _listen(self):
         options = self.options
-        limits = {
-            "keepalive_timeout": KEEPALIVE,
-            "max_line_size": MOST_HEAD,
-            "max_field_size": MOST_HEAD,
-            "access_log": None,
-            "auto_decompress": False,
-        }
-        front = web.Server(
-            self.entry.answer, handler_cancellation=True, **limits
-        )
-        self._front = front
-        await self._open_listener(front, options.front_port)
+        await self._open_listener(self._front, options.front_port)
         await self._open_listener(
             web.Server(self._answer_ready), options.ready_port
         )
@@ -258,6 +251,7 @@
         if known is not None and configuration.version <= known.version:
             return
         self.entry.configuration = configuration
+        self._front.limits = configuration.limits
         self.state.ready = True
         self.raw_configuration = raw
         self.log.write(
@@ -388,6 +382,9 @@
             "store_age_seconds": self.state.read_store_age(now) or 0,
             "unreadable_messages": self.peers.unreadable,
             "log_lines_dropped": self.log.dropped,
+            "held_body_bytes": self.entry.bodies.held,
+            "held_answer_bytes": self.upstream.held,
+            "slow_heads_closed": self._front.closed_heads,
         }
         return self.meters.format(gauges).encode()
 
--- a/packages/daemon/acaciafield_daemon/gateway/options.py
+++ b/packages/daemon/acaciafield_daemon/gateway/options.py
@@ -21,7 +21,7 @@
 
     Ports are the same on every node. Times are in seconds: ``grace``
     from the order to stop to the kill, ``most_validity`` of an answer
-    to callers that ask for addresses.
+    to callers that ask for addresses. ``memory`` is the host's, in bytes.
     """
 
     __slots__ = (
@@ -29,6 +29,7 @@
         "ip",
         "zone",
         "weight",
+        "memory",
         "front_port",
         "ready_port",
         "directory_port",
--- a/packages/daemon/acaciafield_daemon/gateway/upstream.py
+++ b/packages/daemon/acaciafield_daemon/gateway/upstream.py
@@ -22,7 +22,10 @@
 
 CONNECT_TIMEOUT = 0.15  # seconds; a lost first packet is sent after 1 s
 USER_TIMEOUT_MS = 3000  # milliseconds that sent bytes may stay unconfirmed
-HELD_BODY = 4_194_304  # bytes of an answer that are held back to be checked
+MOST_HELD = 4_194_304  # bytes of an answer that are held back to be checked
+MOST_FAILURE = 262_144  # bytes of a failure, which is held as a whole
+MOST_ALL_HELD = 16_777_216  # bytes of all answers of a node that are held
+READ_SIZE = 32768  # bytes of an answer that one connection buffers
 MOST_HEAD = 65536  # bytes of one line or field of a worker's answer
 TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
 HOP_BY_HOP = frozenset(
@@ -43,13 +46,18 @@
 
 
 class Result(structs.Struct):
-    """How an attempt ended; ``body`` is None where ``rest`` streams it."""
+    """How an attempt ended.
+
+    ``parts`` is the body as far as it is held and ``size`` its bytes;
+    ``rest`` is the response that has more of it, or None.
+    """
 
     __slots__ = (
         "ending",
         "status",
         "headers",
-        "body",
+        "parts",
+        "size",
         "rest",
         "load",
         "latency",
@@ -57,12 +65,18 @@
     DEFAULTS = {
         "status": 0,
         "headers": None,
-        "body": b"",
+        "parts": (),
+        "size": 0,
         "rest": None,
         "load": None,
         "latency": 0.0,
     }
 
+    @property
+    def body(self):
+        """The held part of the body in one piece."""
+        return b"".join(self.parts)
+
 
 class Message(structs.Struct):
     """A caller's request as it is passed on."""
@@ -84,11 +98,12 @@
 class Upstream:
     """The client side towards workers."""
 
-    __slots__ = ("names", "clock", "_session")
+    __slots__ = ("names", "clock", "held", "_session")
 
     def __init__(self, names, clock):
         self.names = names
         self.clock = clock
+        self.held = 0  # bytes of all results that are not released
         self._session = None
 
     @contextlib.asynccontextmanager
@@ -113,6 +128,7 @@
                 "Accept-Encoding",
                 "Content-Type",
             ),
+            read_bufsize=READ_SIZE,
             max_line_size=MOST_HEAD,
             max_field_size=MOST_HEAD,
         )
@@ -158,16 +174,27 @@
         ending = self._classify(message, response)
         load = read_load(response.headers.get(self.names.worker_load))
         result = Result(ending, response.status, response.headers, load=load)
+        result.parts = []
         try:
             if ending in (Ending.ANSWERED, Ending.FAILED):
                 await self._read_body(response, result)
         except (aiohttp.ClientError, OSError):
             result.ending = Ending.GARBLED
+        except BaseException:
+            self.release(result)
+            raise
         finally:
             if result.rest is None:
                 response.close()
         return result
 
+    def release(self, result):
+        """Give up what is held of an answer and the connection to it."""
+        self.held -= result.size
+        result.size, result.parts = 0, []
+        if result.rest is not None:
+            result.rest.close()
+
     def _classify(self, message, response):
         headers = response.headers
         echoed = headers.get(self.names.request_id, message.request_id)
@@ -187,14 +214,24 @@
         return Ending.ANSWERED
 
     async def _read_body(self, response, result):
-        parts, size = [], 0
+        """Hold the body, or as much as there is room for.
+
+        A failure is passed on whole or not at all: one without an end
+        tells no more than that the worker is unsound.
+        """
+        failed = result.ending is Ending.FAILED
+        most = MOST_FAILURE if failed else MOST_HELD
         async for part in response.content.iter_any():
-            parts.append(part)
-            size += len(part)
-            if size > HELD_BODY:
+            result.parts.append(part)
+            result.size += len(part)
+            self.held += len(part)
+            if result.size <= most and self.held <= MOST_ALL_HELD:
+                continue
+            if failed:
+                result.ending = Ending.GARBLED
+            else:
                 result.rest = response
-                break
-        result.body = b"".join(parts)
+            return
 
 
 def make_socket(address):
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,133 @@
+"""Workers whose answers have no end, against a real process of the gateway."""
+
+import asyncio
+import collections
+import contextlib
+import re
+
+import aiohttp
+import pytest
+
+from bench import soak_fleet
+from standins import endless
+from standins import store as stores
+
+CALLERS = 100
+DEADLINE_MS = 1500
+END_SLACK = 1.5  # seconds past the deadline, as all share one processor
+HOST_MEMORY = 200_000_000  # bytes, of the users' smallest hosts
+SLOTS = 60
+CLOSE_WAIT = 3.0  # seconds for the connections to the worker to end
+
+
+class World:
+    """What a soak_fleet.Node asks of its surroundings."""
+
+    def __init__(self, store):
+        self.store = store
+
+
+def put_worker(store, name, service, address):
+    """Write the entry of a worker."""
+    row = {
+        "service": service,
+        "address": address,
+        "zone": "za",
+        "maxConcurrency": SLOTS,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1,
+    }
+    store.put("keyed.servers", name, row)
+
+
+@contextlib.asynccontextmanager
+async def run_node(folder, workers):
+    """Run a process of the gateway before the given workers."""
+    async with stores.StoreServer().open() as store:
+        for number, worker in enumerate(workers):
+            for service in soak_fleet.KINDS:
+                name = "i-%s-%d" % (service, number)
+                put_worker(store, name, service, worker.address)
+        store.put("keyed.op", "config", soak_fleet.make_configuration(1))
+        node = soak_fleet.Node(World(store), 1, folder)
+        node.write_settings(store.address)
+        await node.start()
+        try:
+            async with asyncio.timeout(soak_fleet.START_WAIT):
+                while not await node.is_ready():
+                    await asyncio.sleep(0.05)
+            yield node
+        finally:
+            node.process.kill()
+            node.process.wait()
+
+
+def read_peak(node):
+    """Return the peak resident memory of a node's process in bytes."""
+    with open("/proc/%d/status" % node.process.pid) as file:
+        found = re.search(r"VmHWM:\s+(\d+) kB", file.read())
+    return int(found.group(1)) * 1024
+
+
+async def call(session, node, number, service):
+    """Send a request; return its status, 0 where it broke off."""
+    headers = {
+        "Host": soak_fleet.HOSTNAME,
+        "Acaciafield-Request-Id": "q%d" % number,
+        "Acaciafield-Deadline-Ms": str(DEADLINE_MS),
+    }
+    url = "http://%s/%s/x" % (node.find_address("front"), service)
+    try:
+        async with session.get(url, headers=headers) as response:
+            async for _ in response.content.iter_any():
+                pass
+            return response.status
+    except (aiohttp.ClientError, OSError):
+        return 0
+
+
+async def call_all(node, service):
+    """Send all callers' requests at once; count their statuses."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        calls = [
+            call(session, node, number, service) for number in range(CALLERS)
+        ]
+        async with asyncio.timeout(DEADLINE_MS / 1000.0 + END_SLACK):
+            return collections.Counter(await asyncio.gather(*calls))
+
+
+def play(folder, form, service):
+    """Return (statuses, peak memory, connections left) of one play."""
+
+    async def steps():
+        async with contextlib.AsyncExitStack() as stack:
+            workers = [
+                await stack.enter_async_context(
+                    endless.EndlessWorker(form).open()
+                )
+                for _ in range(2)
+            ]
+            node = await stack.enter_async_context(run_node(folder, workers))
+            statuses = await call_all(node, service)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CLOSE_WAIT):
+                    while any(worker.open_count for worker in workers):
+                        await asyncio.sleep(0.05)
+            left = sum(worker.open_count for worker in workers)
+            return statuses, read_peak(node), left
+
+    return asyncio.run(steps())
+
+
+@pytest.mark.parametrize("service", list(soak_fleet.KINDS))
+@pytest.mark.parametrize("form", list(endless.FORMS))
+def test_answer_without_end_is_cut_off(tmp_path, form, service):
+    statuses, peak, left = play(tmp_path, form, service)
+    print(form, service, dict(statuses), peak // 1_000_000, "MB")
+    assert statuses[200] == 0
+    assert statuses[500] == 0
+    assert sum(statuses.values()) == CALLERS
+    assert peak < HOST_MEMORY
+    assert left == 0
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import signal
 import socket
@@ -21,16 +22,25 @@
 from tests import gateway_support as support
 from tests import test_platform
 
+FIRST_PORT = 12000
+PORT_COUNT = 8000
+
+_ports = itertools.count(FIRST_PORT + os.getpid() * 16 % PORT_COUNT)
+
 
 def find_ports(count):
-    """Return free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return free ports of the loopback address.
+
+    They lie below those that the system gives to connections, as one of
+    these may be taken before the port is used.
+    """
+    found = []
+    while len(found) < count:
+        number = FIRST_PORT + (next(_ports) - FIRST_PORT) % PORT_COUNT
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", number))
+            found.append(number)
+    return found
 
 
 def make_options(**fields):
@@ -41,6 +51,7 @@
         "ip": "127.0.0.1",
         "zone": "za",
         "weight": 1.0,
+        "memory": 200_000_000,
         "front_port": front,
         "ready_port": ready,
         "directory_port": directory,
@@ -62,12 +73,13 @@
         self.seen = []
         self.steps = []
         self.delay = 0.0
+        self.answer = self._answer
         self.address = None
 
     @contextlib.asynccontextmanager
     async def open(self):
         """Serve on a free port."""
-        server = web.Server(self._answer)
+        server = web.Server(lambda request: self.answer(request))
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(server, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
@@ -90,7 +102,7 @@
             headers["Acaciafield-Upstream-Signature"] = "s"
         if status == 0:
             request.transport.abort()
-        body = await request.read()
+        body = await request.content.read()
         return web.Response(status=status or 500, headers=headers, body=body)
 
 
