Let a process that starts keep a hang-up for later

Test: tests/test_gateway_start.py sends it while the libraries load; it failed before (exit -1). Left: the interpreter's own start, some 20 ms, cannot be guarded; the platform starts such a process again.

--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -92,6 +92,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.log.open()
         self.log.write("start", ip=self.options.ip, zone=self.options.zone)
         async with contextlib.AsyncExitStack() as stack:
