Send evidence to three coordinators, and read the configuration for others

Change: the three first choices of a service learn of its grants and ends, enough for two to be lost; a node that starts takes the configuration from its coordinator and reads the store itself after 1.5 s without one. Ruled out: leaving out the own record or the list of members at the start, as nodes that start together would not find each other.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -475,8 +475,10 @@
         ask.repeats,
         ask.fingerprint,
     )
-    for contact in _list_others(state, state.now):
-        out.append(effects.Send(contact.member.ip, granted))
+    for name in state.view.list_keepers(ask.service, state.now):
+        if name != state.own.name:
+            ip = state.view.contacts[name].member.ip
+            out.append(effects.Send(ip, granted))
 
 
 def _describe_decision(answer, ask, state):
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -13,6 +13,7 @@
 from acaciafield import placement
 from acaciafield import structs
 
+EVIDENCE_COPIES = 3  # coordinators that learn each grant and its end
 BEAT_PERIOD = 0.5  # seconds between heartbeats
 SILENT_AFTER = 1.3  # seconds without an answer, two lost beats and a delay
 GONE_AFTER = 1.7  # seconds without a beat, three lost beats and a delay
@@ -263,6 +264,14 @@
             ranked.append(self.own.name)
         return ranked
 
+    def list_keepers(self, service, now):
+        """Return the names that hold the evidence of a service.
+
+        They are the first choices to ask for it, so that one of them can
+        take over; the number does not grow with the zones.
+        """
+        return self.rank_coordinators(service, now, False)[:EVIDENCE_COPIES]
+
     def note_missed_ask(self, name, now):
         """Send no asks for a while to a coordinator that missed one."""
         contact = self.contacts.get(name)
--- a/packages/daemon/acaciafield_daemon/gateway/asking.py
+++ b/packages/daemon/acaciafield_daemon/gateway/asking.py
@@ -104,14 +104,14 @@
         return pending.answer
 
     def withdraw(self, ask):
-        """Tell all coordinators that an ask is of no use any longer."""
+        """Tell the coordinators that an ask is of no use any longer."""
         message = messages.Withdrawal(ask.service, ask.ask_id)
         self.tell_coordinators(message)
 
     def tell_coordinators(self, message, granter=None):
-        """Send a message to the granter and each zone's coordinator."""
-        contacts = self.state.view.list_coordinators(self.clock())
-        names = {contact.member.name for contact in contacts}
+        """Send a message to the granter and its service's coordinators."""
+        view = self.state.view
+        names = set(view.list_keepers(message.service, self.clock()))
         if granter:
             names.add(granter)
         for name in sorted(names):
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -29,6 +29,7 @@
 LEAST_ADDRESSES = 3  # below that, addresses of all zones are given
 MOST_ADDRESSES = 64  # in one answer to callers
 START_PAUSE = 0.3  # seconds after the first try to learn of the fleet
+CONFIG_PATIENCE = 1.5  # seconds for a coordinator to tell of a configuration
 MOST_START_PAUSE = 2.0  # seconds, to which the pause doubles
 CLOSE_SHARE = 0.4  # of the grace after which idle connections are closed
 EXIT_SLACK = 0.4  # seconds before the end of the grace to exit
@@ -144,7 +145,7 @@
         started = False
         while not (written and learned):
             written = written or await self._write_self()
-            learned = learned or await self._read_store()
+            learned = learned or await self._read_members()
             if not learned:
                 await self._read_seeds()
             if not started:
@@ -153,6 +154,21 @@
             if not (written and learned):
                 await asyncio.sleep(pause)
                 pause = min(MOST_START_PAUSE, 2 * pause)
+        await self._await_configuration()
+
+    async def _await_configuration(self):
+        """Read the configuration if no coordinator told of one in time.
+
+        A coordinator reads it for all, so that hundreds of nodes that
+        start together do not ask the store for the same.
+        """
+        pause = CONFIG_PATIENCE
+        while True:
+            await asyncio.sleep(pause)
+            if self.entry.configuration is not None:
+                return
+            await self._read_configuration()
+            pause = MOST_START_PAUSE
 
     async def _write_self(self):
         try:
@@ -162,12 +178,18 @@
             return False
         return True
 
-    async def _read_store(self):
+    async def _read_configuration(self):
         try:
             changes = await self.store.read_newest(feeds.Stream.CONFIGURATION)
-            for _, value in changes.records:
-                if value is not None:
-                    self.take_configuration(value)
+        except feeds.StoreError as error:
+            self.log.write("dependency", part="store", lost=str(error))
+            return
+        for _, value in changes.records:
+            if value is not None:
+                self.take_configuration(value)
+
+    async def _read_members(self):
+        try:
             changes = await self.store.read_newest(feeds.Stream.MEMBERS)
         except feeds.StoreError as error:
             self.log.write("dependency", part="store", lost=str(error))
--- a/tests/test_gateway_members.py
+++ b/tests/test_gateway_members.py
@@ -117,3 +117,16 @@
 def test_node_whose_coordinators_fell_silent_decides_alone():
     state = make_node(answered_at=-1.0)
     assert "n3" in ask_silent_coordinators(state)
+
+
+def test_evidence_goes_to_as_many_nodes_however_many_zones():
+    for count in (2, 3, 5, 9):
+        state = support.make_state("n1", zone="z1")
+        for number in range(1, count + 1):
+            name = "n%d" % number
+            member = support.make_member(name, zone="z%d" % number)
+            state.view.add_candidate(member)
+        found = state.view.list_keepers("orders", 0.0)
+        assert len(found) == min(count, members.EVIDENCE_COPIES)
+        ranked = state.view.rank_coordinators("orders", 0.0, False)
+        assert found == ranked[: len(found)]
