Keep the last quarter of the repeat budget for the most urgent

Change: beside more urgent asks, others may repeat up to 0.75 of the budget. Test: tests/test_gateway_granting.py -k budget, which failed before.

--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -24,6 +24,7 @@
 COLD_COST = 0.5  # cost of a worker that is still warming up
 FULL_COST = 1.0  # cost of the last slot, in the fourth power of load
 SCOUT_BONUS = 1.0  # makes the scouted worker the first choice
+LESS_URGENT_SHARE = 0.75  # of the repeat budget, beside more urgent asks
 SCOUT_BUDGET = 0.5  # share of the repeat budget that scouting may reach
 FIRST_BEARABLE = 0.2  # risk that a request takes rather than wait at all
 LAST_CHANCE = 0.8  # share of the wait after which any worker will do
@@ -108,6 +109,7 @@
         "random",
         "counter",
         "flights",
+        "priorities",
     )
 
     def __init__(self, service, terms, random, started=None):
@@ -122,6 +124,8 @@
         self.random = random
         self.counter = 0
         self.flights = {}
+        # When each priority was last asked for, in seconds.
+        self.priorities = {}
 
     def take_entries(self, entries, now):
         """Replace the list of workers, keeping what is known of each."""
@@ -185,6 +189,7 @@
 
     def decide(self, ask, sender, now):
         """Return a Grant, Queued or Refusal for an ask."""
+        self.priorities[ask.priority] = now
         flight = self.flights.get(ask.ask_id)
         if flight is not None and flight.ask_id in flight.worker.flights:
             return self._make_grant(ask, flight.worker)
@@ -205,10 +210,19 @@
             return self._refuse(ask, Reason.QUARANTINED, MOST_RETRY_AFTER)
         if not any(not w.entry.draining for w in self.workers.values()):
             return self._refuse(ask, Reason.NO_WORKERS, NO_WORKER_RETRY)
-        if ask.repeats and self.budget.measure(now) > 1.0:
+        if ask.repeats and self.budget.measure(now) > self._find_share(ask):
             return self._refuse(ask, Reason.BUDGET, LEAST_RETRY_AFTER)
         return None
 
+    def _find_share(self, ask):
+        """Return the share of the budget up to which an ask may repeat.
+
+        What is left when that is nearly spent goes to the most urgent.
+        """
+        if any(ask.priority > priority for priority in self.priorities):
+            return LESS_URGENT_SHARE
+        return 1.0
+
     def _refuse(self, ask, reason, retry_after):
         return messages.Refusal(ask.ask_id, reason, round(retry_after, 2))
 
@@ -489,8 +503,11 @@
         return answers
 
     def sweep(self, now):
-        """Forget flights whose end was never reported."""
+        """Forget what is of no use: lost flights, priorities not asked."""
         slack = backends.FLIGHT_SLACK
+        for priority, asked_at in list(self.priorities.items()):
+            if now - asked_at > self.budget.window:
+                del self.priorities[priority]
         for ask_id, flight in list(self.flights.items()):
             if now > flight.expires + slack:
                 self._drop_flight(ask_id)
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -215,3 +215,35 @@
     )
     desk.dispatch(1.1)
     assert len(looks) <= 10
+
+
+def test_short_budget_goes_to_the_most_urgent():
+    desk = support.make_desk(20, slots=4)
+    granted = {1: 0, 2: 0}
+    refused = {1: 0, 2: 0}
+    for number in range(2000):
+        now = number * 0.01
+        priority = 1 + number % 2
+        for attempt in (1, 2):
+            ask_id = "s%d:%d" % (number, attempt)
+            answer = grant(
+                desk, ask_id, now, priority=priority, repeats=attempt - 1
+            )
+            if isinstance(answer, messages.Refusal):
+                refused[priority] += 1
+                continue
+            granted[priority] += attempt - 1
+            report = support.make_report(ask_id, answer.worker_id)
+            desk.take_report(report, now)
+    assert refused[1] and refused[2]
+    assert granted[1] > 2 * granted[2]
+
+
+def test_all_of_the_budget_serves_those_who_ask_alone():
+    desk = support.make_desk(4)
+    desk.decide(support.make_ask("a:1", priority=2), "", 0.0)
+    assert desk._find_share(support.make_ask("b:1", priority=2)) == 1.0
+    desk.decide(support.make_ask("c:1", priority=1), "", 0.0)
+    assert desk._find_share(support.make_ask("b:1", priority=2)) < 1.0
+    desk.sweep(100.0)
+    assert desk._find_share(support.make_ask("b:1", priority=2)) == 1.0
