Take no late copy of an answer for the next one on a kept connection

Cause: the project's own daemon uses connections to workers again and matched an answer to its request by its place on the connection alone; a second copy that came once the connection was in use again went to the next caller. Change: each attempt has a name that the worker sends back; an answer with another name ends its attempt as unknown, and a worker that names none gets a new connection each time.

--- a/packages/daemon/acaciafield_daemon/backends.py
+++ b/packages/daemon/acaciafield_daemon/backends.py
@@ -17,6 +17,7 @@
 
 REFUSED = "Refused"  # header of a worker's documented refusal
 DEADLINE = "Request-Deadline"  # header: seconds left, for the worker
+ATTEMPT_ID = "Attempt-Id"  # header: names the attempt, echoed by the worker
 REFUSAL_STATUS = 503
 SMALL_BODY = 65536  # bytes of the largest body passed on in one piece
 KEEPALIVE = 30.0  # seconds
@@ -59,7 +60,14 @@
 class Backends:
     """The connections to workers and the attempts under way."""
 
-    __slots__ = ("settings", "driver", "sessions", "fresh", "tasks")
+    __slots__ = (
+        "settings",
+        "driver",
+        "sessions",
+        "fresh",
+        "tasks",
+        "echoing",
+    )
 
     def __init__(self, settings, driver):
         self.settings = settings
@@ -67,6 +75,10 @@
         self.sessions = {}
         self.fresh = None
         self.tasks = {}
+        # Workers that name the attempt in their answers. Only their
+        # connections are used again: a second copy of an answer that
+        # comes late could be anybody's without a name.
+        self.echoing = set()
 
     @contextlib.asynccontextmanager
     async def open(self):
@@ -101,7 +113,7 @@
             asyncio.create_task(_close_later(session))
 
     def _find_session(self, effect):
-        if effect.fresh:
+        if effect.fresh or effect.worker_id not in self.echoing:
             return self.fresh
         session = self.sessions.get(effect.worker_id)
         if session is None:
@@ -162,6 +174,7 @@
     def _request(self, effect, call, exchange):
         headers = call.make_headers()
         headers[DEADLINE] = "%.3f" % effect.timeout
+        headers[ATTEMPT_ID] = _name_attempt(effect)
         if effect.offset:
             headers[hdrs.RANGE] = "bytes=%d-" % effect.offset
             headers[hdrs.IF_RANGE] = call.validator
@@ -178,6 +191,9 @@
         )
 
     async def _receive(self, effect, call, exchange, response, limit):
+        if not self._check_echo(effect, response):
+            response.close()
+            return Ending.RESET, None
         refusal = _REFUSALS.get(response.headers.get(REFUSED))
         if refusal and response.status == REFUSAL_STATUS:
             await response.read()
@@ -206,6 +222,14 @@
         limit.reschedule(None)
         return await self._stream(call, exchange, response), None
 
+    def _check_echo(self, effect, response):
+        """Tell whether an answer may be that to an attempt."""
+        echo = response.headers.get(ATTEMPT_ID)
+        if echo is None:
+            return effect.worker_id not in self.echoing
+        self.echoing.add(effect.worker_id)
+        return echo == _name_attempt(effect)
+
     async def _stream(self, call, exchange, response):
         stall = self.settings.get("workers", "stall-timeout")
         while True:
@@ -235,6 +259,10 @@
     context.trace_request_ctx.stage = Stage.SEND
 
 
+def _name_attempt(effect):
+    return "%s.%d" % (effect.request_id, effect.attempt)
+
+
 async def _close_later(session):
     await asyncio.sleep(KEEPALIVE)
     await session.close()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -24,6 +24,7 @@
 PROBE_TIME = 0.025  # seconds
 CHUNK = 65536  # bytes
 COLD_FACTOR = 4.0
+ATTEMPT_ID = "Attempt-Id"  # header that names the attempt
 FOREVER = 3600.0  # seconds
 
 app = cyclopts.App()
@@ -65,7 +66,11 @@
         if self.faults.get("refuse") or self._is_crashed():
             request.transport.abort()
             return web.Response()
-        return await self._admit(request)
+        response = await self._admit(request)
+        name = request.headers.get(ATTEMPT_ID)
+        if name is not None and not response.prepared:
+            response.headers[ATTEMPT_ID] = name
+        return response
 
     async def _admit(self, request):
         if self.faults.get("drain"):
@@ -140,6 +145,7 @@
                 size - 1,
                 size,
             )
+        response.headers[ATTEMPT_ID] = request.headers.get(ATTEMPT_ID, "")
         response.content_length = size - start
         await response.prepare(request)
         for offset in range(start, size, CHUNK):
