Cut no request that was just read when connections close at a stop

Cause: idle connections were told apart by a flag that the HTTP library sets one turn of the loop after a request was read, and a head of which half had come counted as idle; a stop at that moment cut the request. Change: a connection is idle only while the library waits for a next request and no byte of one has come.

--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -455,9 +455,7 @@
         """
         while self._front.connections and self.clock() < end:
             for handler in self._front.connections:
-                handler.close()
-                # aiohttp has no public sign of an idle connection.
-                if not handler._request_in_progress:
+                if handler.is_idle():
                     handler.force_close()
             await asyncio.sleep(STOP_PAUSE)
 
--- a/packages/daemon/acaciafield_daemon/gateway/listeners.py
+++ b/packages/daemon/acaciafield_daemon/gateway/listeners.py
@@ -34,6 +34,11 @@
         if self._request_count != count or self._request_in_progress:
             self.head_since = None
 
+    def is_idle(self):
+        """Tell whether no request is read, being read or answered."""
+        waits = self._waiter is not None and not self._waiter.done()
+        return waits and not self._messages and self.head_since is None
+
 
 class CallerServer(web.Server):
     """Accepts the connections of callers.
--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -194,3 +194,45 @@
         assert "Acaciafield-Upstream-Signature" not in headers
 
     play(steps)
+
+
+def test_request_that_was_just_read_is_not_cut_by_a_stop():
+    """The connection closes between reading a head and answering it."""
+
+    async def steps(rig):
+        head = (
+            b"GET /b/x HTTP/1.1\r\nHost: b.example\r\n"
+            b"Acaciafield-Request-Id: just\r\n\r\n"
+        )
+        async with connect(rig, b"") as (reader, _):
+            while not rig.node._front.connections:
+                await asyncio.sleep(0.01)
+            (handler,) = rig.node._front.connections
+            handler.data_received(head)
+            end = rig.node.clock() + 1.0
+            closing = asyncio.ensure_future(rig.node._close_connections(end))
+            answer = await reader.readuntil(b"\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 200")
+            await closing
+
+    play(steps)
+
+
+def test_request_of_which_half_is_read_is_not_cut_by_a_stop():
+    async def steps(rig):
+        start = b"GET /b/x HTTP/1.1\r\nHost: b.example\r\n"
+        async with connect(rig, start) as (reader, writer):
+            while not rig.node._front.connections:
+                await asyncio.sleep(0.01)
+            (handler,) = rig.node._front.connections
+            while handler.is_idle():
+                await asyncio.sleep(0.01)
+            end = rig.node.clock() + 1.0
+            closing = asyncio.ensure_future(rig.node._close_connections(end))
+            await asyncio.sleep(0.1)
+            writer.write(b"Acaciafield-Request-Id: half\r\n\r\n")
+            answer = await reader.readuntil(b"\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 200")
+            await closing
+
+    play(steps)
