Test that only the first of two grants is used

Around a hand-over two coordinators may both answer an ask; the entry takes the first answer and forgets the ask. Passes on the code as it is.

--- a/tests/test_gateway_members.py
+++ b/tests/test_gateway_members.py
@@ -130,3 +130,34 @@
         assert len(found) == min(count, members.EVIDENCE_COPIES)
         ranked = state.view.rank_coordinators("orders", 0.0, False)
         assert found == ranked[: len(found)]
+
+
+def test_only_the_first_of_two_grants_is_used():
+    """Around a hand-over the old and the new coordinator both grant."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        state = make_node(answered_at=0.0)
+        log = decisions.DecisionLog("n3", loop.time)
+        ended = []
+
+        def send(name, message):
+            if not isinstance(message, messages.Ask):
+                ended.append(message)
+                return
+            for worker_id in ("w1", "w2"):
+                grant = messages.Grant(
+                    message.ask_id, worker_id, "127.0.0.1:1", 1.0, name
+                )
+                asker.deliver(grant)
+
+        asker = asking.Asker(state, send, lambda: 0.0, log)
+        ask = support.make_ask()
+        answer = await asker.ask(ask, 1.5)
+        assert answer.worker_id == "w1"
+        late = messages.Grant(ask.ask_id, "w2", "127.0.0.1:1", 1.0, "n2")
+        asker.deliver(late)
+        assert not asker.pending
+        assert not ended
+
+    asyncio.run(run())
