--- a/packages/daemon/acaciafield_daemon/gateway/bodies.py
+++ b/packages/daemon/acaciafield_daemon/gateway/bodies.py
@@ -44,20 +44,20 @@
             return Refusal(TOO_LARGE)
         if self.held + announced > self.most:
             return Refusal(NO_ROOM)
-        reserved = announced
         self.held += announced
-        body = bytearray()
-        result = None
+        body, taken = bytearray(), None
         try:
-            result = await self._fill(request, body, reserved, limits, until)
+            taken = await self._fill(request, body, announced, limits, until)
         finally:
-            if not isinstance(result, bytearray):
-                self.held -= max(reserved, len(body))
-            else:
-                self.held -= max(reserved, len(body)) - len(body)
-        return result
+            kept = len(body) if taken is body else 0
+            self.held -= max(announced, len(body)) - kept
+        return taken
 
-    async def _fill(self, request, body, reserved, limits, until):
+    async def _fill(self, request, body, announced, limits, until):
+        """Read into ``body`` and return it, or a Refusal.
+
+        Room for the ``announced`` bytes is taken already.
+        """
         content = request.content
         while True:
             wait = min(until - self.clock(), limits.idle_timeout)
@@ -68,12 +68,13 @@
                 return Refusal(TOO_SLOW)
             if not part:
                 return body
-            extra = len(body) + len(part) - max(reserved, len(body))
-            if len(body) + len(part) > limits.body_size:
+            size = len(body) + len(part)
+            if size > limits.body_size:
                 return Refusal(TOO_LARGE)
-            if extra > 0 and self.held + extra > self.most:
+            extra = max(0, size - max(announced, len(body)))
+            if extra and self.held + extra > self.most:
                 return Refusal(NO_ROOM)
-            self.held += max(0, extra)
+            self.held += extra
             body += part
 
     def release(self, body):
