--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,7 +24,8 @@
 CALLERS = 24  # callers at the same time
 PAUSE = 0.05  # seconds between two requests of a caller
 VALIDITY = 2.0  # seconds for which a caller keeps addresses
-ORDER_SHARE = 0.6  # share of the requests that may run once at most
+SHARES = {"orders": 0.5, "uploads": 0.1, "reads": 0.4}  # of the requests
+UPLOAD_SIZE = 300_000  # bytes
 SETTLED_TIME = 4.0  # seconds without faults after which all must be served
 CALM_LEAVERS = 3  # workers that leave in the calm time at the end
 SERVED_SHARE = 0.95  # of the requests of the settled time
@@ -70,16 +71,19 @@
         soak = self.soak
         self.count += 1
         request_id = "c%d-%d" % (self.number, self.count)
-        order = self.random.random() < ORDER_SHARE
+        (service,) = self.random.choices(list(SHARES), SHARES.values())
+        order = service != "reads"
         address = self.random.choice(self.addresses)
         body = hashlib.sha256(request_id.encode()).digest() * 20
+        if service == "uploads":
+            body *= UPLOAD_SIZE // len(body)
         sent = soak_record.Sent(
             request_id, order, address, soak.clock(), 0.0, 0, False
         )
         try:
             async with session.request(
                 "POST" if order else "GET",
-                "http://%s/%s/x" % (address, "orders" if order else "reads"),
+                "http://%s/%s/x" % (address, service),
                 data=body if order else None,
                 headers={
                     "Host": soak_fleet.HOSTNAME,
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -25,8 +25,10 @@
 LEAVE_TIME = 5.0  # seconds that a leaving worker goes on serving
 SLOTS = 4
 WORKERS = 5  # of each service
-KINDS = {"orders": "unsafe", "reads": "safe"}  # of requests, by service
-WORKER_FAULTS = ("errors", "reset", "hang", "shed", "extra")
+# Of requests, by service.
+KINDS = {"orders": "unsafe", "uploads": "upload", "reads": "safe"}
+WORKER_FAULTS = ("errors", "reset", "hang", "shed", "extra", "endless")
+ENDLESS_PART = b"x" * 65536  # bytes
 PORTS = {"front": 0, "readiness": 1, "directory": 2, "control": 3}
 FIRST_PORT = 21000  # of the ports that each node has on its own address
 PORT_COUNT = 8
@@ -222,7 +224,7 @@
 
     async def _answer(self, request):
         request_id = request.headers["Acaciafield-Request-Id"]
-        body = await request.read()
+        body = await request.content.read()
         headers = {"Acaciafield-Request-Id": request_id}
         expected = request.headers["Acaciafield-Expect-Instance"]
         if self.fault == "shed" or expected != self.worker_id:
@@ -236,6 +238,8 @@
         if self.fault == "hang":
             await asyncio.sleep(10.0)
         headers["Acaciafield-Upstream-Signature"] = "s"
+        if self.fault == "endless":
+            return await _send_endless(request, headers)
         if self.fault == "errors":
             return web.Response(status=500, headers=headers, body=body)
         await asyncio.sleep(WORK_TIME)
@@ -247,6 +251,16 @@
         return answer
 
 
+async def _send_endless(request, headers):
+    """Send a body until the caller closes."""
+    answer = web.StreamResponse(headers=headers)
+    await answer.prepare(request)
+    while request.transport is not None:
+        await answer.write(ENDLESS_PART)
+        await asyncio.sleep(0.002)
+    return answer
+
+
 class Fleet:
     """The nodes and workers of a soak."""
 
