--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,7 +1,7 @@
 """Slopes of state, messages and time, and what they mean at full size.
 
-Each slope is measured at three sizes and printed; ``--write`` makes
-docs/CAPACITY.md from them.
+Each slope of the embedded library is measured at three sizes and printed;
+``--write`` makes docs/design/capacity.md from them.
 """
 
 import pathlib
@@ -11,7 +11,7 @@
 from acaciafield import keys
 from bench import slopes as measured
 
-PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "design" / "capacity.md"
 NODES = 3800
 SERVICES = 3800
 WORKERS = 190_000
@@ -203,11 +203,11 @@
 
 
 def make_page(slopes, rows):
-    """Return docs/CAPACITY.md."""
+    """Return docs/design/capacity.md."""
     red = [r for r in rows if not r.fits]
     weakest = max(red, key=lambda r: r.value / r.budget)
     head = (
-        "# Capacity at the future size\n\n"
+        "# Capacity of the embedded library at the future size\n\n"
         "After this page you know what each role needs at %d nodes, %d "
         "workers in %d services, %d requests a second, %d routes, %d "
         "workspaces, %d changes and %d restarts a day, in %d regions. "
