Give no turn to a worker whose requests hang

Cause (found on reading): the turn of a worker without grants for 1.4 s set aside all of its risk, also that what runs there gets no answer; a worker that hangs would have got an order each 1.4 s. Change: only what is left of a bearable failure is set aside. Tests: test_gateway_granting.py -k 'hangs or rested'; the first failed before. Also names the nodes that hold a service's evidence by what they hold.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -475,7 +475,7 @@
         ask.repeats,
         ask.fingerprint,
     )
-    for name in state.view.list_keepers(ask.service, state.now):
+    for name in state.view.list_evidence_holders(ask.service, state.now):
         if name != state.own.name:
             ip = state.view.contacts[name].member.ip
             out.append(effects.Send(ip, granted))
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -297,9 +297,11 @@
                 continue
             if scouts:
                 cost -= SCOUT_BONUS
-            elif not (idle and risk <= FIRST_BEARABLE):
+            else:
                 # One that has rested is not kept idle for old failures.
-                cost += self._weigh_risk(worker, ask, risk, now)
+                forgiven = idle and risk <= FIRST_BEARABLE
+                known = 0.0 if forgiven else risk
+                cost += self._weigh_risk(worker, ask, known, now)
             if cost < best_cost:
                 best, best_cost = worker, cost
         return best
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -264,7 +264,7 @@
             ranked.append(self.own.name)
         return ranked
 
-    def list_keepers(self, service, now):
+    def list_evidence_holders(self, service, now):
         """Return the names that hold the evidence of a service.
 
         They are the first choices to ask for it, so that one of them can
--- a/packages/daemon/acaciafield_daemon/gateway/asking.py
+++ b/packages/daemon/acaciafield_daemon/gateway/asking.py
@@ -111,7 +111,7 @@
     def tell_coordinators(self, message, granter=None):
         """Send a message to the granter and its service's coordinators."""
         view = self.state.view
-        names = set(view.list_keepers(message.service, self.clock()))
+        names = set(view.list_evidence_holders(message.service, self.clock()))
         if granter:
             names.add(granter)
         for name in sorted(names):
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -247,3 +247,33 @@
     assert desk._find_share(support.make_ask("b:1", priority=2)) < 1.0
     desk.sweep(100.0)
     assert desk._find_share(support.make_ask("b:1", priority=2)) == 1.0
+
+
+def test_worker_that_has_rested_gets_work_though_others_are_idle():
+    desk = support.make_desk(6, slots=6)
+    teach(desk, 0.0)
+    desk.workers["w1"].note_failure(1.0)
+    now, given = 1.0, set()
+    while now < 8.0:
+        now += 0.05
+        ask_id = "o%d:1" % int(now * 100)
+        granted = grant(desk, ask_id, now, idempotent=False)
+        given.add(granted.worker_id)
+        report = support.make_report(ask_id, granted.worker_id)
+        desk.take_report(report, now + 0.04)
+    assert "w1" in given
+
+
+def test_worker_that_hangs_gets_no_turn_while_others_are_idle():
+    desk = support.make_desk(6, slots=6)
+    teach(desk, 0.0)
+    hung = messages.Granted("orders", "h:1", "n1", "w1", "r", 60.0, 0, "f")
+    desk.take_granted(hung, 0.5)
+    now = 1.0
+    while now < 8.0:
+        now += 0.05
+        ask_id = "o%d:1" % int(now * 100)
+        granted = grant(desk, ask_id, now, idempotent=False)
+        assert granted.worker_id != "w1"
+        report = support.make_report(ask_id, granted.worker_id)
+        desk.take_report(report, now + 0.04)
--- a/tests/test_gateway_members.py
+++ b/tests/test_gateway_members.py
@@ -126,7 +126,7 @@
             name = "n%d" % number
             member = support.make_member(name, zone="z%d" % number)
             state.view.add_candidate(member)
-        found = state.view.list_keepers("orders", 0.0)
+        found = state.view.list_evidence_holders("orders", 0.0)
         assert len(found) == min(count, members.EVIDENCE_COPIES)
         ranked = state.view.rank_coordinators("orders", 0.0, False)
         assert found == ranked[: len(found)]
