Run endless workers apart from the callers that time them

Callers, workers and the store shared one loop; the workers write without end, so the callers' clock ran behind their own writing. Seen again on the old layout beside ten busy processes: 3.67 s, with the node's own log saying that it had answered by 2.19 s.

Change: the workers run in a process of their own. The bound and the load stay as they were. A run that is over the bound now prints the end of the node's log, so that it can be traced.

Ruled out: a request that is never ended (none in 40 plays).

--- a/standins/endless.py
+++ b/standins/endless.py
@@ -1,8 +1,15 @@
-"""A worker whose answers have no end, until the caller closes."""
+"""A worker whose answers have no end, until the caller closes.
+
+``python -m standins.endless FORM COUNT`` runs several in a process of
+their own and prints their addresses; each line on its standard input is
+answered with the number of connections that are open.
+"""
 
 import asyncio
 import contextlib
+import json
 import re
+import sys
 
 PART = b"x" * 65536  # bytes sent at a time
 HEAD = (
@@ -77,3 +84,24 @@
         finally:
             self.open_count -= 1
             writer.close()
+
+
+async def run_workers(form, count):
+    """Run workers until standard input ends."""
+    loop = asyncio.get_running_loop()
+    async with contextlib.AsyncExitStack() as stack:
+        workers = [
+            await stack.enter_async_context(EndlessWorker(form).open())
+            for _ in range(count)
+        ]
+        _print_row([worker.address for worker in workers])
+        while await loop.run_in_executor(None, sys.stdin.readline):
+            _print_row(sum(worker.open_count for worker in workers))
+
+
+def _print_row(value):
+    print(json.dumps(value), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(run_workers(sys.argv[1], int(sys.argv[2])))
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,7 +3,10 @@
 import asyncio
 import collections
 import contextlib
+import json
 import re
+import subprocess
+import sys
 
 import aiohttp
 import pytest
@@ -18,6 +21,42 @@
 HOST_MEMORY = 200_000_000  # bytes, of the users' smallest hosts
 SLOTS = 60
 CLOSE_WAIT = 3.0  # seconds for the connections to the worker to end
+WORKERS = 2
+LOG_TAIL = 2000  # characters of the node's log beside a failure
+
+
+class Workers:
+    """Endless workers in a process of their own.
+
+    They write all the time, which must not delay the callers' clock.
+    """
+
+    def __init__(self, process):
+        self.process = process
+        self.addresses = json.loads(process.stdout.readline())
+
+    def count_open(self):
+        """Return how many connections to them are open."""
+        self.process.stdin.write("\n")
+        self.process.stdin.flush()
+        return int(self.process.stdout.readline())
+
+
+@contextlib.contextmanager
+def run_workers(form):
+    """Run the process of the workers."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "standins.endless", form, str(WORKERS)],
+        cwd=soak_fleet.ROOT,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    with process:
+        try:
+            yield Workers(process)
+        finally:
+            process.kill()
 
 
 class World:
@@ -42,13 +81,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_node(folder, workers):
-    """Run a process of the gateway before the given workers."""
+async def run_node(folder, addresses):
+    """Run a process of the gateway before the workers at addresses."""
     async with stores.StoreServer().open() as store:
-        for number, worker in enumerate(workers):
+        for number, address in enumerate(addresses):
             for service in soak_fleet.KINDS:
                 name = "i-%s-%d" % (service, number)
-                put_worker(store, name, service, worker.address)
+                put_worker(store, name, service, address)
         store.put("keyed.op", "config", soak_fleet.make_configuration(1))
         node = soak_fleet.Node(World(store), 1, folder)
         node.write_settings(store.address)
@@ -101,24 +140,21 @@
 def play(folder, form, service):
     """Return (statuses, peak memory, connections left) of one play."""
 
-    async def steps():
-        async with contextlib.AsyncExitStack() as stack:
-            workers = [
-                await stack.enter_async_context(
-                    endless.EndlessWorker(form).open()
-                )
-                for _ in range(2)
-            ]
-            node = await stack.enter_async_context(run_node(folder, workers))
-            statuses = await call_all(node, service)
+    async def steps(workers):
+        async with run_node(folder, workers.addresses) as node:
+            try:
+                statuses = await call_all(node, service)
+            except TimeoutError:
+                print(node.log.read_text()[-LOG_TAIL:])
+                raise
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CLOSE_WAIT):
-                    while any(worker.open_count for worker in workers):
+                    while workers.count_open():
                         await asyncio.sleep(0.05)
-            left = sum(worker.open_count for worker in workers)
-            return statuses, read_peak(node), left
+            return statuses, read_peak(node), workers.count_open()
 
-    return asyncio.run(steps())
+    with run_workers(form) as workers:
+        return asyncio.run(steps(workers))
 
 
 @pytest.mark.parametrize("service", list(soak_fleet.KINDS))
