Say so at once when a coordinator hears the store

Cause: a node that is asked to coordinate answers the first heartbeat before its first read of the store, as one that knows no workers. The next heartbeat comes only after all other candidates were asked, when its duty is over. So a fleet passes over the one host that the store serves, and at a start many hosts take up duty one after the other.

Change: a node tells those that asked it once the store answered, unless a better candidate of its zone hears the store already.

Test first: in virtual time (tests/gateway_fleet.py, nodes with a store that may fail) 40 hosts of which the store serves one never chose it in 12 s; now they do. Calls to the store while 36 hosts start: 231 before, 51 after; in an outage of 8 s 345 both times. Telling members whenever no other is fresh, without the order of candidates, was tried first: after an outage 24 hosts stayed on duty for good.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -60,6 +60,7 @@
         "informed",
         "store_at",
         "hears_store",
+        "confirmed",
         "answered_at",
         "coordinated",
         "push_at",
@@ -83,6 +84,7 @@
         self.informed = False
         self.store_at = None
         self.hears_store = True
+        self.confirmed = False
         self.answered_at = None
         self.coordinated = False
         self.push_at = 0.0
@@ -193,6 +195,7 @@
 def _apply_workers(event: events.WorkersRead, state, now, out):
     state.store_at = now
     _take_entries(event.entries, state, now, out)
+    _confirm_store(state, now, out)
 
 
 @_apply.register
@@ -224,7 +227,10 @@
 @_apply.register
 def _apply_store(event: events.StoreHeard, state, now, out):
     state.store_at = now
-    state.hears_store = True
+    if not state.hears_store:
+        state.hears_store = True
+        state.confirmed = False
+    _confirm_store(state, now, out)
 
 
 @_apply.register
@@ -233,6 +239,25 @@
     if not state.hears_store:
         return
     state.hears_store = False
+    _tell_members(state, now, out)
+
+
+def _confirm_store(state, now, out):
+    """Tell the members once that the store answers this node.
+
+    They may have asked this node before the first answer of the store
+    and go on looking. Where a better candidate of their zone hears the
+    store, they need not know.
+    """
+    if state.confirmed or state.entries is None:
+        return
+    state.confirmed = True
+    if not state.view.has_better(state.own.name, now):
+        _tell_members(state, now, out)
+
+
+def _tell_members(state, now, out):
+    """Tell those that send heartbeats what is known here of the store."""
     answer = _make_answer(state, None)
     for member, _ in state.registry.table.values():
         if member.name == state.own.name:
@@ -277,6 +302,7 @@
     state.duty_until = max(state.duty_until, now + time)
     if not state.following:
         state.following = True
+        state.confirmed = False
         out.append(effects.FollowStore(True))
         out.append(effects.Note("duty", {"taken": True}))
         _seek_workers(state, now, out)
--- a/packages/coordination/acaciafield/gateway/members.py
+++ b/packages/coordination/acaciafield/gateway/members.py
@@ -213,6 +213,15 @@
                 best, best_grade = contact, grade
         return best
 
+    def has_better(self, name, now):
+        """Tell whether a better candidate of a node's zone is fresh."""
+        found = self.contacts[name]
+        near = self.find_coordinator(found.member.zone, now)
+        if near is None or near.grade(now) is not Grade.FRESH:
+            return False
+        ranked = self.list_candidates(found.member.zone)
+        return ranked.index(near) < ranked.index(found)
+
     def list_coordinators(self, now):
         """Return the contact that coordinates each zone, own zone first."""
         found = [self.find_coordinator(z, now) for z in self.list_zones()]
