Try a worker that keeps failing within the floor's two seconds

A worker that fails again and again was tried each 4 s at the end, but two seconds after its last failure it counts as sound, and in between got nothing.

Change: the pause between such tries doubles to 1.8 s, no longer to 4 s. Test first: the longest pause was 4.01 s.

--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -18,7 +18,7 @@
 KEPT_GOOD = 12  # times of good answers that are kept for a worker
 NEGLIGIBLE_RISK = 0.02
 SCOUT_REST = 0.5  # seconds after a failure before a request finds out more
-MOST_SCOUT_REST = 4.0  # seconds, to which that doubles with each failure
+MOST_SCOUT_REST = 1.8  # seconds, to which that doubles; the floor asks for 2
 
 
 class WorkerEntry(structs.Struct):
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -277,3 +277,21 @@
         assert granted.worker_id != "w1"
         report = support.make_report(ask_id, granted.worker_id)
         desk.take_report(report, now + 0.04)
+
+
+def test_worker_that_keeps_failing_is_tried_within_the_floor_window():
+    """The floor counts a worker as sound 2 s after its last failure."""
+    desk = support.make_desk(4, slots=4)
+    teach(desk, 0.0)
+    bad, tried, now = "w1", [], 1.0
+    for number in range(2000):
+        now += 0.01
+        granted = grant(desk, "q%d:1" % number, now)
+        failed = granted.worker_id == bad
+        if failed:
+            tried.append(now)
+        ending = "failed" if failed else "answered"
+        fail(desk, granted.ask_id, granted.worker_id, now, ending)
+    pauses = [b - a for a, b in zip(tried, tried[1:])]
+    assert len(tried) > 6
+    assert max(pauses) < 2.0
