Give a rested worker's turn to its own availability zone first

The turn of a worker that rested took off more than another zone costs, so the next request of any zone went there, although one of its own zone follows within milliseconds.

Change: for its first 0.3 s a turn takes off less than another zone costs; only then any zone will do.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -29,6 +29,7 @@
     In each ``epoch`` the share ``bad`` of the workers fails ``fails`` of
     what it runs for ``spell`` seconds. The share ``once`` of the
     requests may run once at most, the others go to ``attempts`` workers.
+    Workers and callers are spread over ``zones`` availability zones.
     """
 
     __slots__ = (
@@ -46,8 +47,9 @@
         "fails",
         "attempts",
         "once",
+        "zones",
     )
-    DEFAULTS = {"attempts": 2, "once": 1.0}
+    DEFAULTS = {"attempts": 2, "once": 1.0, "zones": 1}
 
 
 ORDERS = Load("orders", 18, 6, 72.3, 0.47, 0.8, 2.0, 5.0, 9.0, 5.0, 0.3, 0.75)
@@ -68,14 +70,33 @@
 LARGE = Load(
     "large", 285, 6, 385.0, 0.702, 0.8, 3.07, 8.16, 9.0, 5.0, 0.3, 0.75
 )
+# The same at half the rate, in five availability zones.
+ZONED = Load(
+    "zoned",
+    285,
+    6,
+    192.0,
+    0.702,
+    0.8,
+    3.07,
+    8.16,
+    9.0,
+    5.0,
+    0.3,
+    0.75,
+    zones=5,
+)
 UPLOADS = Load("uploads", 6, 4, 27.8, 0.2, 0.5, 0.8, 2.0, 9.0, 5.0, 0.3, 0.9)
 
+LOADS = (ORDERS, BOOKINGS, RECORDS, PRICES, MIXED, UPLOADS, LARGE, ZONED)
+
 
 class Tally:
     """What the callers of one play got.
 
     ``held`` is the longest time in seconds that a refused one was held,
-    ``slowly`` counts those refused after an eighth of their target.
+    ``slowly`` counts those refused after an eighth of their target and
+    ``away`` the grants in another availability zone than the caller's.
     """
 
     __slots__ = (
@@ -85,6 +106,7 @@
         "failed",
         "refused",
         "slowly",
+        "away",
         "held",
     )
 
@@ -95,6 +117,7 @@
         self.failed = 0
         self.refused = 0
         self.slowly = 0
+        self.away = 0
         self.held = 0.0
 
     def __repr__(self):
@@ -134,9 +157,17 @@
         names = ["w%d" % number for number in range(load.workers)]
         entries = [
             backends.WorkerEntry(
-                name, "s", "a:1", "za", load.slots, False, 0.0, 1, 1
+                name,
+                "s",
+                "a:1",
+                "z%d" % (number % load.zones),
+                load.slots,
+                False,
+                0.0,
+                1,
+                1,
             )
-            for name in names
+            for number, name in enumerate(names)
         ]
         self.desk.take_entries(entries, 0.0)
         self.spells = {name: self._draw_spells() for name in names}
@@ -203,7 +234,7 @@
         ask = messages.Ask(
             "%s:%d" % (request_id, number),
             "n1",
-            "za",
+            "z%d" % (int(request_id[1:]) % load.zones),
             "s",
             "r",
             most > 1,
@@ -232,6 +263,8 @@
             self.tally.held = max(self.tally.held, held)
             return
         self.grants[answer.worker_id].append(now)
+        worker = self.desk.workers[answer.worker_id]
+        self.tally.away += worker.entry.zone != ask.zone
         failed = self._fails(answer.worker_id, now)
         length = FAILURE_TIME
         if not failed:
@@ -303,7 +336,7 @@
 
 def print_table():
     """Print what callers got for both users' sizes and several loads."""
-    for load in (ORDERS, BOOKINGS, RECORDS, PRICES, MIXED, UPLOADS, LARGE):
+    for load in LOADS:
         for factor in (0.7, 1.0, 1.35, 2.0, 2.5, 3.0, 4.0):
             play = Play(load, factor, 1)
             tally = play.run()
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -23,6 +23,8 @@
 ZONE_COST_BYTES = 60000.0  # bytes of an answer that cost one more
 COLD_COST = 0.5  # cost of a worker that is still warming up
 IDLE_TIME = 1.4  # seconds without a grant after which a worker's turn comes
+LONG_IDLE_TIME = 1.7  # seconds, after which any availability zone will do
+NEAR_IDLE_BONUS = 0.13  # takes off less than another zone costs
 IDLE_BONUS = 0.3  # takes off more than another availability zone costs
 FULL_COST = 1.0  # cost of the last slot, in the fourth power of load
 SCOUT_BONUS = 1.0  # makes the scouted worker the first choice
@@ -283,10 +285,12 @@
         away = ZONE_COST + size / ZONE_COST_BYTES
         for worker in self.workers.values():
             scouts = scouting and worker.is_scout_due(now)
-            idle = now - worker.granted_at > IDLE_TIME
+            rested = now - worker.granted_at
+            idle = rested > IDLE_TIME
             cost = self._weigh_place(worker, ask, away, now)
             if idle:
-                cost -= IDLE_BONUS
+                long = rested > LONG_IDLE_TIME
+                cost -= IDLE_BONUS if long else NEAR_IDLE_BONUS
             # Most workers of a large service cost more by place alone.
             if cost >= best_cost and not scouts:
                 continue
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -5,6 +5,7 @@
 from bench import placing
 
 FLOOR_SHARE = 0.7  # of the sound workers, which must get work
+MOST_AWAY = 0.1  # of requests, as each zone has room for its own
 FEW_FAILURES = 2.0  # a spell, twice what must be spent to learn of one
 
 
@@ -52,8 +53,14 @@
     assert tally.failed <= 0.02 * tally.asked
 
 
-def test_sound_workers_are_not_left_without_work():
+@pytest.mark.parametrize("load", [placing.LARGE, placing.ZONED])
+def test_sound_workers_are_not_left_without_work(load):
     """The floor counts all workers that could be taken for sound."""
-    found, _ = play(placing.LARGE, 1.0)
+    found, _ = play(load, 1.0)
     for start in range(4, int(placing.LENGTH) - 2, 2):
         assert found.measure_used(float(start), 2.0) >= FLOOR_SHARE
+
+
+def test_rested_worker_is_given_work_of_its_own_zone():
+    _, tally = play(placing.ZONED, 1.0)
+    assert tally.away <= MOST_AWAY * tally.asked
