Ask the store less while it is away, and where nobody else asks a node

Change: a node that no other sends heartbeats to reads workers each 1.0 s, not 0.6 s; while the reading of workers fails, the configuration is tried each 1.0 s more, and at once when the other is back; a node that a coordinator answers needs no list from the store, and its own record is tried with pauses of up to 8 s.

Tests first: in 3 s of outage both readers made the same number of calls; a node on its own read as often as one on duty.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -115,6 +115,10 @@
             return None
         return round(now - self.store_at, 2)
 
+    def has_followers(self):
+        """Tell whether other nodes send their heartbeats to this one."""
+        return any(name != self.own.name for name in self.registry.table)
+
     def take_terms(self, terms):
         """Take in the operator's changed bounds."""
         self.terms = terms
--- a/packages/daemon/acaciafield_daemon/gateway/feeds.py
+++ b/packages/daemon/acaciafield_daemon/gateway/feeds.py
@@ -1,14 +1,17 @@
 """Following the platform's store: workers, configuration, members."""
 
 import asyncio
+import contextlib
 import enum
 
 from acaciafield import structs
 
 WORKERS_PERIOD = 0.6  # seconds between reads of changes to workers
+ALONE_PERIOD = 1.0  # seconds, the same for a node that nobody asks
 CONFIG_WAIT = 2.0  # seconds that a read of the configuration waits
 RETRY_PAUSE = 0.25  # seconds after a failed read
 MOST_RETRY_PAUSE = 0.5  # seconds, to which the pause doubles
+AWAY_PAUSE = 1.0  # seconds, while the reading of workers fails as well
 AWAY_AFTER = 1.2  # seconds of failed reads that count as an outage
 MOST_REMOVED = 1000  # removed workers whose last writing is remembered
 NEVER = (-1, -1)  # before any writing
@@ -142,7 +145,15 @@
 class Feeds:
     """The reading tasks of a node that coordinates."""
 
-    __slots__ = ("store", "clock", "log", "hooks", "_tasks", "_failing")
+    __slots__ = (
+        "store",
+        "clock",
+        "log",
+        "hooks",
+        "_tasks",
+        "_failing",
+        "_regained",
+    )
 
     def __init__(self, store, clock, log, hooks):
         self.store = store
@@ -151,12 +162,14 @@
         self.hooks = hooks
         self._tasks = []
         self._failing = {}
+        self._regained = asyncio.Event()
 
     def set_active(self, active):
         """Begin or end reading."""
         for task in self._tasks:
             task.cancel()
         self._tasks = []
+        self._failing.clear()
         if active:
             self._tasks = [
                 asyncio.ensure_future(self._follow_workers()),
@@ -190,7 +203,8 @@
             if changed or first:
                 first = False
                 self.hooks.take_workers(list(table.entries.values()))
-            await asyncio.sleep(WORKERS_PERIOD)
+            alone = self.hooks.is_alone()
+            await asyncio.sleep(ALONE_PERIOD if alone else WORKERS_PERIOD)
 
     async def _follow_configuration(self):
         follower = Follower(self.store, Stream.CONFIGURATION)
@@ -198,7 +212,7 @@
         while True:
             read = await self._read(follower, CONFIG_WAIT)
             if read is None:
-                await asyncio.sleep(pause)
+                await self._wait_for_store(pause)
                 pause = min(MOST_RETRY_PAUSE, 2 * pause)
                 continue
             pause = RETRY_PAUSE
@@ -206,6 +220,20 @@
                 if value is not None:
                     self.hooks.take_configuration(value)
 
+    async def _wait_for_store(self, pause):
+        """Wait ``pause`` seconds, or for the reading of workers.
+
+        While that fails as well the whole store is away, and one reader
+        is enough to find out that it is back.
+        """
+        await asyncio.sleep(pause)
+        if Stream.WORKERS.value not in self._failing:
+            return
+        self._regained.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(AWAY_PAUSE):
+                await self._regained.wait()
+
     async def _read(self, follower, wait):
         name = follower.stream.value
         try:
@@ -220,6 +248,8 @@
             return None
         since = self._failing.pop(name, None)
         if since is not None:
+            if follower.stream is Stream.WORKERS:
+                self._regained.set()
             away = round(self.clock() - since, 3)
             self.log.write(
                 "dependency", part="store", stream=name, regained_after=away
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -31,6 +31,7 @@
 START_PAUSE = 0.3  # seconds after the first try to learn of the fleet
 CONFIG_PATIENCE = 1.5  # seconds for a coordinator to tell of a configuration
 MOST_START_PAUSE = 2.0  # seconds, to which the pause doubles
+MOST_WRITE_PAUSE = 8.0  # seconds, the same once a coordinator answers
 CLOSE_SHARE = 0.4  # of the grace after which idle connections are closed
 EXIT_SLACK = 0.4  # seconds before the end of the grace to exit
 STOP_PAUSE = 0.05  # seconds
@@ -138,7 +139,8 @@
         """Make this node known, and learn of others until one is found.
 
         The own record goes first: of two nodes that start together, at
-        least one then finds the other. Coordinators spread the rest.
+        least one then finds the other. Coordinators spread the rest; to
+        a node that one of them answers the store's list tells no more.
         """
         pause = START_PAUSE
         written = learned = False
@@ -151,9 +153,11 @@
             if not started:
                 started = True
                 self._apply(self.state.start(self.clock()))
+            learned = learned or self.state.coordinated
             if not (written and learned):
                 await asyncio.sleep(pause)
-                pause = min(MOST_START_PAUSE, 2 * pause)
+                most = MOST_WRITE_PAUSE if learned else MOST_START_PAUSE
+                pause = min(most, 2 * pause)
         await self._await_configuration()
 
     async def _await_configuration(self):
@@ -243,6 +247,10 @@
 
     # Hooks of the feeds
 
+    def is_alone(self):
+        """Tell whether no other node asks this one to coordinate."""
+        return not self.state.has_followers()
+
     def hear_store(self):
         """Take note that the store answered."""
         self._feed(events.StoreHeard)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,5 +1,9 @@
-"""The table of workers across outages of the store."""
+"""The table of workers, and how often the store is read for it."""
 
+import asyncio
+import collections
+
+from acaciafield_daemon.gateway import decisions
 from acaciafield_daemon.gateway import feeds
 from tests import gateway_support as support
 
@@ -93,3 +97,87 @@
     assert not table.apply([("w1", newer)], False, 1.0)
     older = support.make_entry("w1", sequence=1, draining=True)
     assert not table.apply([("w1", older)], False, 1.1)
+
+
+class CountingStore:
+    """A store that answers, or not, and counts the calls by stream."""
+
+    def __init__(self):
+        self.away = False
+        self.calls = collections.Counter()
+        self.decode_worker = lambda key, value: value
+
+    async def read_newest(self, stream):
+        return await self._answer(stream)
+
+    async def read_changes(self, stream, offset, wait):
+        await asyncio.sleep(0.0 if self.away else wait)
+        return await self._answer(stream)
+
+    async def _answer(self, stream):
+        self.calls[stream] += 1
+        if self.away:
+            raise feeds.StoreError("away")
+        return feeds.Changes([], 1)
+
+
+class Hooks:
+    """What a node does with what its feeds read."""
+
+    def __init__(self, alone=False):
+        self.alone = alone
+
+    def is_alone(self):
+        return self.alone
+
+    def hear_store(self):
+        pass
+
+    def lose_store(self):
+        pass
+
+    def take_workers(self, found):
+        pass
+
+
+def follow(store, seconds, alone=False, back_at=None):
+    """Follow a store for some seconds; return the calls by stream."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        log = decisions.DecisionLog("n1", loop.time)
+        following = feeds.Feeds(store, loop.time, log, Hooks(alone))
+        following.set_active(True)
+        if back_at is not None:
+            await asyncio.sleep(back_at)
+            store.away = False
+            store.calls.clear()
+        await asyncio.sleep(seconds - (back_at or 0.0))
+        following.set_active(False)
+
+    asyncio.run(run())
+    return store.calls
+
+
+def test_one_reader_looks_for_a_store_that_is_away():
+    store = CountingStore()
+    store.away = True
+    calls = follow(store, 3.0)
+    workers = calls[feeds.Stream.WORKERS]
+    assert workers >= 3.0 / feeds.MOST_RETRY_PAUSE - 1
+    assert calls[feeds.Stream.CONFIGURATION] <= 0.5 * workers + 1
+
+
+def test_configuration_is_read_as_soon_as_the_store_is_back():
+    store = CountingStore()
+    store.away = True
+    back = 1.5 + 2 * feeds.MOST_RETRY_PAUSE
+    calls = follow(store, back, back_at=1.5)
+    assert calls[feeds.Stream.CONFIGURATION] >= 1
+
+
+def test_node_that_nobody_asks_reads_less_often():
+    shared = follow(CountingStore(), 2.7)[feeds.Stream.WORKERS]
+    alone = follow(CountingStore(), 2.7, alone=True)[feeds.Stream.WORKERS]
+    assert alone < shared
+    assert feeds.ALONE_PERIOD < feeds.AWAY_AFTER
