Keep back of a budget only what the more urgent ask for

Repeats ended at 0.75 of it (some 990 of 1,330 in the window, by the logs): a few requests on test routes of priority 0 counted as more urgent, which held a quarter back from all orders.

Change: what is held back is the share of the more urgent among the asks of the last window, up to the quarter. A refusal's log line tells how much of the budget was used and what share of it the ask could reach.

Test first: with one ask in fifty more urgent, 140 repeats of 187 allowed were granted, now at least 178.

--- a/packages/coordination/acaciafield/gateway/budgets.py
+++ b/packages/coordination/acaciafield/gateway/budgets.py
@@ -1,9 +1,11 @@
 """The budget of repeated sends of one service over a sliding window."""
 
 import collections
+import math
 
 SAFETY = 0.85  # share of the operator's allowance that is used
 SPLIT = 10  # parts of a window that are counted apart
+NEGLIGIBLE_COUNT = 0.01  # of a decaying count, which is then dropped
 FIRST_SLACK = 0.3  # share of the slack that a budget without a past has
 
 
@@ -84,3 +86,44 @@
         if not self._slices or self._slices[-1][0] != slot:
             self._slices.append([slot, 0, 0])
         return self._slices[-1]
+
+
+class RecentShares:
+    """Shares of what was counted lately, by a key that sorts.
+
+    Counts decay with the time constant ``time`` in seconds.
+
+    >>> shares = RecentShares(10.0)
+    >>> for key in (0, 1, 1, 1):
+    ...     shares.add(key, 0.0)
+    >>> shares.measure_below(1, 0.0)
+    0.25
+    """
+
+    __slots__ = ("time", "_counts", "_at")
+
+    def __init__(self, time):
+        self.time = time
+        self._counts = {}
+        self._at = 0.0
+
+    def add(self, key, now):
+        """Count one of a key."""
+        self._decay(now)
+        self._counts[key] = self._counts.get(key, 0.0) + 1.0
+
+    def measure_below(self, key, now):
+        """Return the share of the keys that sort before a key."""
+        self._decay(now)
+        total = sum(self._counts.values())
+        below = sum(n for k, n in self._counts.items() if k < key)
+        return below / total if total else 0.0
+
+    def _decay(self, now):
+        factor = math.exp(-max(0.0, now - self._at) / self.time)
+        self._at = now
+        self._counts = {
+            key: count * factor
+            for key, count in self._counts.items()
+            if count * factor > NEGLIGIBLE_COUNT
+        }
--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -522,6 +522,7 @@
     if isinstance(answer, messages.Refusal):
         fields["reason"] = answer.reason
         fields["retry_after"] = answer.retry_after
+        fields.update(desk.describe_budget(ask, state.now))
         return effects.Note("refusal", fields)
     fields["worker"] = answer.worker_id
     fields.update(desk.describe_choice(answer.worker_id, state.now))
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -28,7 +28,7 @@
 IDLE_BONUS = 0.3  # takes off more than another availability zone costs
 FULL_COST = 1.0  # cost of the last slot, in the fourth power of load
 SCOUT_BONUS = 1.0  # makes the scouted worker the first choice
-LESS_URGENT_SHARE = 0.75  # of the repeat budget, beside more urgent asks
+MOST_RESERVED = 0.25  # share of the repeat budget for more urgent asks
 SCOUT_BUDGET = 0.5  # share of the repeat budget that scouting may reach
 FIRST_BEARABLE = 0.2  # risk that a request takes rather than wait at all
 LAST_CHANCE = 0.8  # share of the wait after which any worker will do
@@ -128,8 +128,7 @@
         self.random = random
         self.counter = 0
         self.flights = {}
-        # When each priority was last asked for, in seconds.
-        self.priorities = {}
+        self.priorities = budgets.RecentShares(terms.window)
 
     def take_entries(self, entries, now):
         """Replace the list of workers, keeping what is known of each."""
@@ -193,7 +192,7 @@
 
     def decide(self, ask, sender, now):
         """Return a Grant, Queued or Refusal for an ask."""
-        self.priorities[ask.priority] = now
+        self.priorities.add(ask.priority, now)
         flight = self.flights.get(ask.ask_id)
         if flight is not None and flight.ask_id in flight.worker.flights:
             return self._make_grant(ask, flight.worker)
@@ -214,18 +213,19 @@
             return self._refuse(ask, Reason.QUARANTINED, MOST_RETRY_AFTER)
         if not any(not w.entry.draining for w in self.workers.values()):
             return self._refuse(ask, Reason.NO_WORKERS, NO_WORKER_RETRY)
-        if ask.repeats and self.budget.measure(now) > self._find_share(ask):
+        if ask.repeats and self.budget.measure(now) > self._find_share(
+            ask, now
+        ):
             return self._refuse(ask, Reason.BUDGET, LEAST_RETRY_AFTER)
         return None
 
-    def _find_share(self, ask):
+    def _find_share(self, ask, now):
         """Return the share of the budget up to which an ask may repeat.
 
-        What is left when that is nearly spent goes to the most urgent.
+        The rest is for the more urgent, by their share of all asks.
         """
-        if any(ask.priority > priority for priority in self.priorities):
-            return LESS_URGENT_SHARE
-        return 1.0
+        urgent = self.priorities.measure_below(ask.priority, now)
+        return 1.0 - min(MOST_RESERVED, urgent)
 
     def _refuse(self, ask, reason, retry_after):
         return messages.Refusal(ask.ask_id, reason, round(retry_after, 2))
@@ -410,6 +410,13 @@
             "listed": len(self.workers),
         }
 
+    def describe_budget(self, ask, now):
+        """Return how much of the repeat budget is used, for the log."""
+        return {
+            "budget_used": round(self.budget.measure(now), 3),
+            "budget_share": round(self._find_share(ask, now), 3),
+        }
+
     def take_granted(self, message, now):
         """Learn what another coordinator granted."""
         if message.ask_id in self.flights:
@@ -520,11 +527,8 @@
         return answers
 
     def sweep(self, now):
-        """Forget what is of no use: lost flights, priorities not asked."""
+        """Forget flights whose reports were lost."""
         slack = backends.FLIGHT_SLACK
-        for priority, asked_at in list(self.priorities.items()):
-            if now - asked_at > self.budget.window:
-                del self.priorities[priority]
         for ask_id, flight in list(self.flights.items()):
             if now > flight.expires + slack:
                 self._drop_flight(ask_id)
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -1,5 +1,6 @@
 """Granting: placing, queueing and refusing under load and faults."""
 
+from acaciafield.gateway import budgets
 from acaciafield.gateway import granting
 from acaciafield.gateway import messages
 from tests import gateway_support as support
@@ -241,12 +242,31 @@
 
 def test_all_of_the_budget_serves_those_who_ask_alone():
     desk = support.make_desk(4)
+    late = support.make_ask("b:1", priority=2)
     desk.decide(support.make_ask("a:1", priority=2), "", 0.0)
-    assert desk._find_share(support.make_ask("b:1", priority=2)) == 1.0
+    assert desk._find_share(late, 0.0) == 1.0
     desk.decide(support.make_ask("c:1", priority=1), "", 0.0)
-    assert desk._find_share(support.make_ask("b:1", priority=2)) < 1.0
-    desk.sweep(100.0)
-    assert desk._find_share(support.make_ask("b:1", priority=2)) == 1.0
+    assert desk._find_share(late, 0.0) < 1.0
+    assert desk._find_share(late, 100.0) == 1.0
+
+
+def test_few_more_urgent_asks_hold_little_of_the_budget_back():
+    """Every worker refuses; one in fifty asks is more urgent."""
+    desk = support.make_desk(20, slots=90)
+    repeats = 0
+    for number in range(1000):
+        now = number * 0.01
+        priority = 0 if number % 50 == 0 else 1
+        for attempt in (1, 2):
+            ask_id = "s%d:%d" % (number, attempt)
+            answer = grant(
+                desk, ask_id, now, priority=priority, repeats=attempt - 1
+            )
+            if isinstance(answer, messages.Grant):
+                repeats += attempt - 1
+    terms = support.TERMS
+    allowed = budgets.SAFETY * (terms.ratio * 1000 + terms.slack)
+    assert repeats >= 0.95 * allowed
 
 
 def test_worker_that_has_rested_gets_work_though_others_are_idle():
