--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -6,47 +6,32 @@
 """
 
 import bisect
-import math
 
 from acaciafield.gateway import backends
 from acaciafield.gateway import budgets
+from acaciafield.gateway import evidence
 from acaciafield.gateway import messages
+from acaciafield.gateway import placing
 from acaciafield import outcomes
 from acaciafield import quarantine
 from acaciafield import structs
 
 Ending = outcomes.Ending
 
-LAST_RISK_WEIGHT = 20.0  # cost of a sure failure that is final
-RISK_WEIGHT = 3.0  # cost of a sure failure that another attempt follows
-ZONE_COST = 0.15  # cost of a worker in another availability zone
-ZONE_COST_BYTES = 60000.0  # bytes of an answer that cost one more
-COLD_COST = 0.5  # cost of a worker that is still warming up
-IDLE_TIME = 1.4  # seconds without a grant after which a worker's turn comes
-LONG_IDLE_TIME = 1.7  # seconds, after which any availability zone will do
-NEAR_IDLE_BONUS = 0.13  # takes off less than another zone costs
-IDLE_BONUS = 0.3  # takes off more than another availability zone costs
-FULL_COST = 1.0  # cost of the last slot, in the fourth power of load
-SCOUT_BONUS = 1.0  # makes the scouted worker the first choice
 MOST_RESERVED = 0.25  # share of the repeat budget for more urgent asks
 SCOUT_BUDGET = 0.5  # share of the repeat budget that scouting may reach
-FIRST_BEARABLE = 0.2  # risk that a request takes rather than wait at all
 LAST_CHANCE = 0.8  # share of the wait after which any worker will do
 REPEAT_CHANCE = 0.25  # the same where another attempt may follow
 HOLD_SHARE = 0.5  # share of the target that a request may wait
-EXTRA_FLIGHTS = 1  # requests beyond the slots of a worker
 LEAST_RETRY_AFTER = 0.1  # seconds
 MOST_RETRY_AFTER = 3.0  # seconds
 NO_WORKER_RETRY = 0.5  # seconds after which to ask for an absent worker
 GUESSED_LATENCY = 0.25  # seconds, share of the target before any answer
 LEAST_HEDGE = 0.05  # seconds
-GIVEN_UP_MEANS = 4.0  # mean latencies after which giving up is evidence
-GIVEN_UP_WEIGHT = 0.5  # of a failure, as the request may have been long
 # A caller may send a crashing request again and again, beside others'
 # requests; its innocent twin is let through again after a while.
 CRASH_TERMS = quarantine.Terms(alone=2, together=3, time=15.0, growth=3.0)
 LOAD_DELAY = 0.25  # seconds within which a grant may not have arrived
-IDLE_REFUSAL_WEIGHT = 0.25  # of a failure, as the request can be repeated
 MOST_MISSED = 8  # waiting requests that find no worker in one look
 MOST_WAITING = 2000  # requests in one queue
 
@@ -74,7 +59,7 @@
         hold = max(self.expires - self.since, 1e-6)
         chance = LAST_CHANCE if self.ask.last else REPEAT_CHANCE
         passed = min(1.0, (now - self.since) / (chance * hold))
-        return FIRST_BEARABLE + (1.0 - FIRST_BEARABLE) * passed
+        return placing.FIRST_BEARABLE + (1.0 - placing.FIRST_BEARABLE) * passed
 
     def __lt__(self, other):
         return self.order < other.order
@@ -203,7 +188,7 @@
             return refusal
         worker = None
         if not self._is_behind(ask):
-            worker = self.choose_worker(ask, now, FIRST_BEARABLE)
+            worker = self.choose_worker(ask, now, placing.FIRST_BEARABLE)
         if worker is not None:
             return self._grant(ask, worker, now)
         return self._enqueue(ask, sender, now)
@@ -274,67 +259,17 @@
         return latency
 
     def choose_worker(self, ask, now, bearable=1.0):
-        """Return the worker of least cost with a free slot, or None.
-
-        One of more than the ``bearable`` risk is left out, unless it is
-        time that a request finds out whether it is well again.
-        """
-        best, best_cost = None, math.inf
-        scouting = self._may_scout(ask, now)
+        """Return the best worker for an ask, or None; see placing."""
         size = self._find_latency(ask.route, ask.target).size
-        away = ZONE_COST + size / ZONE_COST_BYTES
-        for worker in self.workers.values():
-            scouts = scouting and worker.is_scout_due(now)
-            rested = now - worker.granted_at
-            idle = rested > IDLE_TIME
-            cost = self._weigh_place(worker, ask, away, now)
-            if idle:
-                long = rested > LONG_IDLE_TIME
-                cost -= IDLE_BONUS if long else NEAR_IDLE_BONUS
-            # Most workers of a large service cost more by place alone.
-            if cost >= best_cost and not scouts:
-                continue
-            if not self._is_eligible(worker, ask, now):
-                continue
-            risk = worker.read_risk(now)
-            if risk > bearable and not scouts:
-                continue
-            if scouts:
-                cost -= SCOUT_BONUS
-            else:
-                # One that has rested is not kept idle for old failures.
-                forgiven = idle and risk <= FIRST_BEARABLE
-                known = 0.0 if forgiven else risk
-                cost += self._weigh_risk(worker, ask, known, now)
-            if cost < best_cost:
-                best, best_cost = worker, cost
-        return best
-
-    def _weigh_place(self, worker, ask, away, now):
-        entry = worker.entry
-        load = (len(worker.flights) + 1) / entry.slots
-        cost = load + FULL_COST * load**4
-        if entry.zone != ask.zone:
-            cost += away
-        if now < worker.warm_at:
-            cost += COLD_COST
-        return cost
-
-    def _is_eligible(self, worker, ask, now):
-        entry = worker.entry
-        if entry.draining or entry.worker_id in ask.avoid:
-            return False
-        if worker.is_path_bad(ask.node, now) or now < worker.full_until:
-            return False
-        return len(worker.flights) < entry.slots + self._count_extra(entry)
-
-    def _count_extra(self, entry):
-        """Return how many requests may wait at a worker itself.
-
-        They fill the time in which an answer and the next request are
-        on their way.
-        """
-        return EXTRA_FLIGHTS if entry.slots > 1 else 0
+        return placing.choose_worker(
+            self.workers.values(),
+            ask,
+            now,
+            bearable,
+            size,
+            self.latencies,
+            self._may_scout(ask, now),
+        )
 
     def _may_scout(self, ask, now):
         if ask.last or ask.repeats:
@@ -343,11 +278,6 @@
             return False
         return self.budget.measure(now) < SCOUT_BUDGET
 
-    def _weigh_risk(self, worker, ask, risk, now):
-        hang = worker.estimate_hang(self.latencies, now)
-        weight = LAST_RISK_WEIGHT if ask.last else RISK_WEIGHT
-        return weight * max(risk, hang)
-
     def _grant(self, ask, worker, now):
         self._count_send(ask, now)
         self._add_flight(ask, worker, now)
@@ -435,7 +365,11 @@
         alone = not worker.flights
         if report.load is not None:
             self._drop_lost(worker, report.load, now)
-        self._judge(worker, report, alone, now)
+        if report.ending == Ending.ANSWERED.value:
+            self._find_latency(report.route, report.latency * 4.0)
+        evidence.judge_attempt(
+            worker, report, self.latencies, self.quarantine, alone, now
+        )
 
     def _drop_lost(self, worker, load, now):
         """Drop the oldest flights beyond what the worker says it has.
@@ -456,44 +390,6 @@
         for flight in old[:excess]:
             self._drop_flight(flight.ask_id)
 
-    def _judge(self, worker, report, alone, now):
-        ending = Ending(report.ending)
-        if ending not in (Ending.UNREACHED, Ending.CANCELLED):
-            worker.note_good_path(report.node)
-        started = now - report.latency
-        if ending is Ending.ANSWERED:
-            latency = self._find_latency(report.route, report.latency * 4.0)
-            latency.add(report.latency, report.size)
-            worker.note_good(started, now)
-            self.quarantine.add_good(report.fingerprint)
-        elif ending in outcomes.REFUSALS:
-            self._judge_refusal(worker, report, now)
-        elif ending is Ending.UNREACHED:
-            worker.note_bad_path(report.node, now)
-        elif ending is Ending.MISDIRECTED:
-            worker.full_until = now + backends.PATH_REST
-        elif ending in (Ending.FAILED, Ending.GARBLED, Ending.TIMEOUT):
-            worker.note_failure(now)
-        elif ending is Ending.CANCELLED:
-            self._judge_cancelled(worker, report, now)
-        elif ending is Ending.RESET:
-            worker.note_failure(now)
-            self.quarantine.add_crash(report.fingerprint, alone, now)
-
-    def _judge_refusal(self, worker, report, now):
-        """Rest a full worker; one that refuses while idle is unsound."""
-        if report.load is None or report.load[0] >= report.load[2]:
-            worker.full_until = now + backends.FULL_REST
-            return
-        worker.note_failure(now, IDLE_REFUSAL_WEIGHT)
-
-    def _judge_cancelled(self, worker, report, now):
-        latency = self.latencies.get(report.route)
-        if latency is None or not latency.count:
-            return
-        if report.latency > GIVEN_UP_MEANS * latency.mean:
-            worker.note_failure(now, GIVEN_UP_WEIGHT)
-
     def withdraw(self, ask_id):
         """Forget an ask that is of no use any longer."""
         self.queue = [w for w in self.queue if w.ask.ask_id != ask_id]
--- /dev/null
+++ b/packages/coordination/acaciafield/gateway/nodes.py
@@ -0,0 +1,154 @@
+"""What a gateway's node knows besides its requests, and its timers."""
+
+import random
+
+from acaciafield.gateway import granting
+from acaciafield.gateway import members
+from acaciafield import structs
+from acaciafield import timers
+
+UNANSWERED_TIME = 2.5  # seconds without coordinators that end readiness
+ALONE_AFTER = 1.0  # seconds without a coordinator before a node acts alone
+SWEEP_PERIOD = 1.0  # seconds between sweeps of lost reports
+
+
+class BeatTimer(structs.Struct):
+    """Heartbeats are due."""
+
+    __slots__ = ()
+
+
+class SweepTimer(structs.Struct):
+    """What was never reported is to be forgotten."""
+
+    __slots__ = ()
+
+
+class DispatchTimer(structs.Struct):
+    """Queues are to be looked at."""
+
+    __slots__ = ()
+
+
+class NodeState:
+    """Everything that a node of a gateway knows besides its requests."""
+
+    __slots__ = (
+        "now",
+        "own",
+        "terms",
+        "random",
+        "timers",
+        "view",
+        "registry",
+        "desks",
+        "entries",
+        "duty_until",
+        "following",
+        "informed",
+        "store_at",
+        "hears_store",
+        "confirmed",
+        "answered_at",
+        "coordinated",
+        "push_at",
+        "config_version",
+        "ready",
+        "leaving",
+    )
+
+    def __init__(self, own, terms, seed):
+        self.now = 0.0
+        self.own = own
+        self.terms = terms
+        self.random = random.Random(seed)
+        self.timers = timers.Timers()
+        self.view = members.View(own)
+        self.registry = members.Registry(own.zone)
+        self.desks = {}
+        self.entries = None
+        self.duty_until = 0.0
+        self.following = False
+        self.informed = False
+        self.store_at = None
+        self.hears_store = True
+        self.confirmed = False
+        self.answered_at = None
+        self.coordinated = False
+        self.push_at = 0.0
+        self.config_version = 0
+        self.ready = False
+        self.leaving = False
+
+    def start(self, now):
+        """Begin; return the first effects."""
+        self.now = now
+        self.answered_at = now
+        self.timers.subscribe("beat", now, BeatTimer())
+        self.timers.subscribe("sweep", now + SWEEP_PERIOD, SweepTimer())
+        return []
+
+    def find_desk(self, service):
+        """Return the desk of a service."""
+        desk = self.desks.get(service)
+        if desk is None:
+            desk = granting.Desk(service, self.terms, self.random, self.now)
+            self.desks[service] = desk
+            self.fill_desk(desk)
+        return desk
+
+    def fill_desk(self, desk):
+        """Give a desk the workers of its service as the store lists them."""
+        if self.entries is not None:
+            desk.take_entries(self.entries.get(desk.service, ()), self.now)
+
+    def read_store_age(self, now):
+        """Return how old the list of workers is, None without one."""
+        if self.store_at is None or self.entries is None:
+            return None
+        return round(now - self.store_at, 2)
+
+    def has_followers(self):
+        """Tell whether other nodes send their heartbeats to this one."""
+        return any(name != self.own.name for name in self.registry.table)
+
+    def take_terms(self, terms):
+        """Take in the operator's changed bounds."""
+        self.terms = terms
+        for desk in self.desks.values():
+            desk.budget.ratio = terms.ratio
+            desk.budget.slack = terms.slack
+
+    def dump_knowledge(self, now):
+        """Return what the desks know, for another coordinator."""
+        return {name: desk.dump(now) for name, desk in self.desks.items()}
+
+    def read_share(self):
+        """Return the share of the fleet's slack that is used here.
+
+        A node that few send their heartbeats to may be one of many that
+        coordinate without knowing of each other.
+        """
+        known = len(self.view.contacts)
+        heard = len(self.registry.table)
+        if 2 * len(self.view.list_zones()) * heard >= known:
+            return 1.0
+        return max(1, heard) / known
+
+    def may_act_alone(self, now):
+        """Tell whether no coordinator answered this node's heartbeats."""
+        if not self.coordinated:
+            return True
+        return now - self.answered_at > ALONE_AFTER
+
+    def is_serving(self, now):
+        """Tell whether callers' requests can be given workers here."""
+        if not self.ready or self.leaving or self.answered_at is None:
+            return False
+        if self.entries is not None:
+            return True
+        return now - self.answered_at < UNANSWERED_TIME
+
+    def next_due(self):
+        """Return when a tick is needed next, in seconds, or None."""
+        return self.timers.next_due()
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -15,6 +15,7 @@
 from acaciafield.gateway import effects
 from acaciafield.gateway import events
 from acaciafield.gateway import members
+from acaciafield.gateway import nodes
 from acaciafield_daemon import alarms
 from acaciafield_daemon.gateway import asking
 from acaciafield_daemon.gateway import decisions
@@ -60,7 +61,7 @@
             options.weight,
             False,
         )
-        self.state = coordination.NodeState(own, options.terms, own.born)
+        self.state = nodes.NodeState(own, options.terms, own.born)
         documents = {
             "configuration": lambda: self.raw_configuration,
             "members": self._dump_members,
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -6,6 +6,7 @@
 from acaciafield.gateway import granting
 from acaciafield.gateway import members
 from acaciafield.gateway import messages
+from acaciafield.gateway import nodes
 from acaciafield.gateway import routes
 
 TERMS = granting.Terms(ratio=0.2, slack=20.0, window=10.0)
@@ -79,7 +80,7 @@
 
 def make_state(name="n1", **fields):
     """Return a NodeState."""
-    return coordination.NodeState(make_member(name, **fields), TERMS, 1)
+    return nodes.NodeState(make_member(name, **fields), TERMS, 1)
 
 
 def make_desk(count=3, now=0.0, **fields):
--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 import pytest
 
-from acaciafield.gateway import granting
+from acaciafield.gateway import placing
 from tests import test_gateway_node
 from tests import test_platform
 
@@ -181,7 +181,7 @@
             for desk in rig.node.state.desks.values()
             for worker in desk.workers.values()
         ]
-        assert max(risks) > granting.FIRST_BEARABLE
+        assert max(risks) > placing.FIRST_BEARABLE
 
     play(steps)
 
