Take a lost answer for no crash while the worker lives on

Where workers only lose answers, requests for the same path of the same caller are refused though nothing is wrong with them.

Change: a worker that answers what began before the reset, or within a second of it, did not crash; the reset is taken back, and the conviction if too few are left.

A request that does crash its workers is refused as before (20 of 27 or more), also in the tests of crashes that were there.

--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -16,6 +16,7 @@
 HANG_MEANS = 3.0  # mean latencies after which a request looks stuck
 HANG_PRIOR = 1.0  # good answers that every worker is credited with
 KEPT_GOOD = 12  # times of good answers that are kept for a worker
+KEPT_RESETS = 8  # requests without an answer that are kept for a worker
 NEGLIGIBLE_RISK = 0.02
 SCOUT_REST = 0.5  # seconds after a failure before a request finds out more
 MOST_SCOUT_REST = 1.8  # seconds, to which that doubles; the floor asks for 2
@@ -110,6 +111,7 @@
         "bad_paths",
         "good_at",
         "granted_at",
+        "resets",
     )
 
     def __init__(self, entry, now):
@@ -124,6 +126,8 @@
         self.bad_paths = {}
         self.good_at = collections.deque(maxlen=KEPT_GOOD)
         self.granted_at = now
+        # Time and fingerprint of requests that broke off without an answer.
+        self.resets = collections.deque(maxlen=KEPT_RESETS)
 
     def take_entry(self, entry, now):
         """Take in a newer entry; a restart clears what was known."""
@@ -131,6 +135,7 @@
             self.risk, self.failures, self.decay = 0.0, 0, DECAY
             self.flights.clear()
             self.bad_paths.clear()
+            self.resets.clear()
         self.entry = entry
         self.warm_at = now + entry.warm_up
 
--- a/packages/coordination/acaciafield/gateway/evidence.py
+++ b/packages/coordination/acaciafield/gateway/evidence.py
@@ -4,9 +4,12 @@
 from acaciafield import outcomes
 
 Ending = outcomes.Ending
+SIGNS_OF_LIFE = (Ending.ANSWERED, Ending.FAILED, *outcomes.REFUSALS)
 
 GIVEN_UP_MEANS = 4.0  # mean latencies after which giving up is evidence
 GIVEN_UP_WEIGHT = 0.5  # of a failure, as the request may have been long
+RESTART_TIME = 1.0  # seconds; a worker that crashed is away for longer
+REPORT_SLACK = 0.05  # seconds by which reports may change their order
 IDLE_REFUSAL_WEIGHT = 0.25  # of a failure, as the request can be repeated
 
 
@@ -21,6 +24,8 @@
     if ending not in (Ending.UNREACHED, Ending.CANCELLED):
         worker.note_good_path(report.node)
     started = now - report.latency
+    if ending in SIGNS_OF_LIFE:
+        _clear_resets(worker, started, suspects, now)
     if ending is Ending.ANSWERED:
         latency = latencies[report.route]
         latency.add(report.latency, report.size)
@@ -38,9 +43,26 @@
         _judge_cancelled(worker, report, latencies, now)
     elif ending is Ending.RESET:
         worker.note_failure(now)
+        worker.resets.append((now, report.fingerprint))
         suspects.add_crash(report.fingerprint, alone, now)
 
 
+def _clear_resets(worker, started, suspects, now):
+    """Clear the requests whose reset the worker outlived.
+
+    It answers what began before the reset, or so soon after it that it
+    cannot have started anew: an answer was lost, nothing crashed.
+    """
+    kept = []
+    for at, fingerprint in worker.resets:
+        if now < at + REPORT_SLACK:
+            kept.append((at, fingerprint))
+        elif started < at + RESTART_TIME:
+            suspects.remove_crash(fingerprint, now)
+    worker.resets.clear()
+    worker.resets.extend(kept)
+
+
 def _judge_refusal(worker, report, now):
     """Rest a full worker; one that refuses while idle is unsound."""
     if report.load is None or report.load[0] >= report.load[2]:
--- a/packages/coordination/acaciafield/quarantine.py
+++ b/packages/coordination/acaciafield/quarantine.py
@@ -96,6 +96,17 @@
             return True
         return terms.together is not None and found.crashes >= terms.together
 
+    def remove_crash(self, fingerprint, now):
+        """Take back a crash that was none; lift a conviction by it."""
+        found = self._find(fingerprint, now)
+        if found is None:
+            return
+        found.crashes -= 1
+        if found.crashes <= 0:
+            del self.table[fingerprint]
+        elif found.crashes < self.terms.alone:
+            found.quarantined = False
+
     def add_good(self, fingerprint):
         """Clear a fingerprint that was answered."""
         found = self.table.get(fingerprint)
--- a/tests/test_gateway_granting.py
+++ b/tests/test_gateway_granting.py
@@ -1,5 +1,8 @@
 """Granting: placing, queueing and refusing under load and faults."""
 
+import heapq
+import random
+
 from acaciafield.gateway import budgets
 from acaciafield.gateway import granting
 from acaciafield.gateway import messages
@@ -315,3 +318,48 @@
     pauses = [b - a for a, b in zip(tried, tried[1:])]
     assert len(tried) > 6
     assert max(pauses) < 2.0
+
+
+def play_lost_answers(share, crashes):
+    """Return the refusals of a caller that asks for one path again.
+
+    Each of ten workers resets a ``share`` of its answers for four
+    seconds; where it ``crashes``, all that runs there is reset and it
+    answers nothing for two seconds. Others ask for other paths.
+    """
+    desk = support.make_desk(10, slots=4)
+    teach(desk, 0.0)
+    draw = random.Random(1)
+    down, ends, refused = {}, [], 0
+    for number in range(1600):
+        now = 1.0 + number * 0.0025
+        while ends and ends[0][0] <= now:
+            at, ask_id, worker_id, mark, lost = heapq.heappop(ends)
+            lost = lost or down.get(worker_id, 0.0) > at
+            if lost and crashes:
+                down.setdefault(worker_id, at + 2.0)
+            report = support.make_report(
+                ask_id,
+                worker_id,
+                "reset" if lost else "answered",
+                fingerprint=mark,
+            )
+            desk.take_report(report, at)
+        mark = "same" if number % 60 == 0 else "f%d" % number
+        answer = grant(desk, "q%d:1" % number, now, fingerprint=mark)
+        if isinstance(answer, messages.Refusal):
+            refused += answer.reason == granting.Reason.QUARANTINED
+        elif isinstance(answer, messages.Grant):
+            guilty = mark == "same" if crashes else True
+            lost = guilty and draw.random() < share
+            end = (now + 0.1, answer.ask_id, answer.worker_id, mark, lost)
+            heapq.heappush(ends, end)
+    return refused
+
+
+def test_request_whose_answers_are_lost_is_not_taken_for_a_crashing_one():
+    assert play_lost_answers(0.3, crashes=False) == 0
+
+
+def test_request_that_crashes_its_workers_is_refused_among_others():
+    assert play_lost_answers(1.0, crashes=True) > 20
