Measure and log the share of sound workers that get work

Cause: the floor of the settings was read by no code, and no log line or metric told a service whose workers rest for their risk from one whose budget of repeats keeps requests from finding out, or from coordinators that differ. Change: floors.measure_usage; floorShare is read; gateway:floor (share, who rested with risk and time, unsuccessful attempts, queue, budget) while the share is low on a coordinator that is asked, gateway:floor-held at its end, and acaciafield_used_worker_share. No decision changes. Measured: tests of the gateway, placing and platform pass.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -15,7 +15,7 @@
 from acaciafield.gateway import messages
 from acaciafield import structs
 
-TERMS = granting.Terms(ratio=0.2, slack=60.0, window=10.0)
+TERMS = granting.Terms(ratio=0.2, slack=60.0, window=10.0, floor=0.7)
 FAILURE_TIME = 0.003  # seconds in which a worker in a bad spell fails
 OWN_ERRORS = 0.012  # share of requests that fail at sound workers
 LENGTH = 40.0  # seconds of one play
--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -111,6 +111,7 @@
         "bad_paths",
         "good_at",
         "granted_at",
+        "failed_at",
         "resets",
     )
 
@@ -126,6 +127,7 @@
         self.bad_paths = {}
         self.good_at = collections.deque(maxlen=KEPT_GOOD)
         self.granted_at = now
+        self.failed_at = -math.inf
         # Time and fingerprint of requests that broke off without an answer.
         self.resets = collections.deque(maxlen=KEPT_RESETS)
 
@@ -133,6 +135,7 @@
         """Take in a newer entry; a restart clears what was known."""
         if entry.born != self.entry.born:
             self.risk, self.failures, self.decay = 0.0, 0, DECAY
+            self.failed_at = -math.inf
             self.flights.clear()
             self.bad_paths.clear()
             self.resets.clear()
@@ -150,6 +153,7 @@
         if known <= self.read_risk(now):
             return
         self.risk, self.risk_at = risk, now - age
+        self.failed_at = max(self.failed_at, now - age)
         self.decay, self.failures = decay, failures
 
     def read_risk(self, now):
@@ -174,7 +178,7 @@
         """Count a failure; ``weight`` scales it, 1 for a plain one."""
         known = self.read_risk(now)
         self.risk = known + (1.0 - known) * FIRST_RISK * weight
-        self.risk_at = now
+        self.risk_at = self.failed_at = now
         if weight >= 1.0:
             self.failures += 1
             self.decay = min(MOST_DECAY, DECAY * self.failures)
--- a/packages/coordination/acaciafield/gateway/beats.py
+++ b/packages/coordination/acaciafield/gateway/beats.py
@@ -88,6 +88,8 @@
     if not state.following:
         state.following = True
         state.confirmed = False
+        due = now + nodes.FLOOR_PERIOD
+        state.timers.subscribe("floor", due, nodes.FloorTimer())
         out.append(effects.FollowStore(True))
         out.append(effects.Note("duty", {"taken": True}))
         seek_workers(state, now, out)
--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -76,6 +76,27 @@
         desk.sweep(now)
 
 
+@handlers.fire_timer.register
+def _fire_floor(timer: nodes.FloorTimer, state, now, out):
+    """Log where few of a service's sound workers get work, and the end."""
+    if not state.following:
+        return
+    state.timers.subscribe("floor", now + nodes.FLOOR_PERIOD, timer)
+    for desk in state.desks.values():
+        usage = desk.measure_usage(now)
+        short = usage is not None and usage.share < desk.floor
+        if short:
+            fields = desk.describe_usage(usage, now)
+            fields["service"] = desk.service
+            out.append(effects.Note("floor", fields))
+        elif desk.short:
+            fields = {"service": desk.service, "share": None}
+            if usage is not None:
+                fields["share"] = round(usage.share, 3)
+            out.append(effects.Note("floor-held", fields))
+        desk.short = short
+
+
 @handlers.fire_timer.register
 def _fire_dispatch(timer: nodes.DispatchTimer, state, now, out):
     for desk in state.desks.values():
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -6,10 +6,12 @@
 """
 
 import bisect
+import enum
 
 from acaciafield.gateway import backends
 from acaciafield.gateway import budgets
 from acaciafield.gateway import evidence
+from acaciafield.gateway import floors
 from acaciafield.gateway import messages
 from acaciafield.gateway import placing
 from acaciafield import outcomes
@@ -34,6 +36,7 @@
 LOAD_DELAY = 0.25  # seconds within which a grant may not have arrived
 MOST_MISSED = 8  # waiting requests that find no worker in one look
 MOST_WAITING = 2000  # requests in one queue
+MOST_DESCRIBED = 8  # workers that one log line names
 
 
 class Reason:
@@ -46,6 +49,13 @@
     EXPIRED = "expired"
 
 
+class Ended(enum.IntEnum):
+    """How an attempt or ask ended; the better sorts last."""
+
+    BADLY = 0
+    GOOD = 1
+
+
 class Waiting(structs.Struct):
     """An ask in the queue; ``order`` sorts it, most urgent first."""
 
@@ -66,9 +76,13 @@
 
 
 class Terms(structs.Struct):
-    """The operator's bounds on repeats; ``window`` in seconds."""
+    """The operator's bounds on repeats, and the floor.
+
+    ``window`` is in seconds; ``floor`` is the least share of a service's
+    sound workers that gets work.
+    """
 
-    __slots__ = ("ratio", "slack", "window")
+    __slots__ = ("ratio", "slack", "window", "floor")
 
 
 class Flight(structs.Struct):
@@ -99,6 +113,10 @@
         "counter",
         "flights",
         "priorities",
+        "floor",
+        "short",
+        "asked_at",
+        "endings",
     )
 
     def __init__(self, service, terms, random, started=None):
@@ -114,6 +132,10 @@
         self.counter = 0
         self.flights = {}
         self.priorities = budgets.RecentShares(terms.window)
+        self.floor = terms.floor
+        self.short = False
+        self.asked_at = None
+        self.endings = budgets.RecentShares(floors.WINDOW)
 
     def take_entries(self, entries, now):
         """Replace the list of workers, keeping what is known of each."""
@@ -177,6 +199,7 @@
 
     def decide(self, ask, sender, now):
         """Return a Grant, Queued or Refusal for an ask."""
+        self.asked_at = now
         self.priorities.add(ask.priority, now)
         flight = self.flights.get(ask.ask_id)
         if flight is not None and flight.ask_id in flight.worker.flights:
@@ -195,13 +218,13 @@
 
     def _find_refusal(self, ask, now):
         if self.quarantine.is_quarantined(ask.fingerprint, now):
-            return self._refuse(ask, Reason.QUARANTINED, MOST_RETRY_AFTER)
+            return self._refuse(ask, Reason.QUARANTINED, MOST_RETRY_AFTER, now)
         if not any(not w.entry.draining for w in self.workers.values()):
-            return self._refuse(ask, Reason.NO_WORKERS, NO_WORKER_RETRY)
+            return self._refuse(ask, Reason.NO_WORKERS, NO_WORKER_RETRY, now)
         if ask.repeats and self.budget.measure(now) > self._find_share(
             ask, now
         ):
-            return self._refuse(ask, Reason.BUDGET, LEAST_RETRY_AFTER)
+            return self._refuse(ask, Reason.BUDGET, LEAST_RETRY_AFTER, now)
         return None
 
     def _find_share(self, ask, now):
@@ -212,7 +235,8 @@
         urgent = self.priorities.measure_below(ask.priority, now)
         return 1.0 - min(MOST_RESERVED, urgent)
 
-    def _refuse(self, ask, reason, retry_after):
+    def _refuse(self, ask, reason, retry_after, now):
+        self.endings.add(Ended.BADLY, now)
         return messages.Refusal(ask.ask_id, reason, round(retry_after, 2))
 
     def _is_behind(self, ask):
@@ -225,7 +249,7 @@
             worker = self.choose_worker(ask, now)
             if worker is not None:
                 return self._grant(ask, worker, now)
-            return self._refuse(ask, Reason.OVERLOAD, self._spread(wait))
+            return self._refuse(ask, Reason.OVERLOAD, self._spread(wait), now)
         self.counter += 1
         order = (ask.priority, now + ask.left, self.counter)
         waiting = Waiting(order, ask, sender, now, now + hold)
@@ -340,6 +364,37 @@
             "listed": len(self.workers),
         }
 
+    def measure_usage(self, now):
+        """Return the floors.Usage of the workers, None without asks here.
+
+        Desks of other coordinators may not know all grants.
+        """
+        if self.asked_at is None or now - self.asked_at > floors.WINDOW:
+            return None
+        return floors.measure_usage(self.workers.values(), self.latencies, now)
+
+    def describe_usage(self, usage, now):
+        """Return what keeps sound workers without work, for the log."""
+        return {
+            "share": round(usage.share, 3),
+            "floor": self.floor,
+            "sound": usage.sound,
+            "listed": len(self.workers),
+            "rested": [
+                [
+                    worker.entry.worker_id,
+                    round(worker.read_risk(now), 3),
+                    round(now - worker.granted_at, 2),
+                ]
+                for worker in usage.rested[:MOST_DESCRIBED]
+            ],
+            "unsuccessful": round(
+                self.endings.measure_below(Ended.GOOD, now), 3
+            ),
+            "waiting": len(self.queue),
+            "budget_used": round(self.budget.measure(now), 3),
+        }
+
     def describe_budget(self, ask, now):
         """Return how much of the repeat budget is used, for the log."""
         return {
@@ -359,13 +414,15 @@
     def take_report(self, report, now):
         """Learn how an attempt ended."""
         self._drop_flight(report.ask_id)
+        good = report.ending == Ending.ANSWERED.value
+        self.endings.add(Ended.GOOD if good else Ended.BADLY, now)
         worker = self.workers.get(report.worker_id)
         if worker is None:
             return
         alone = not worker.flights
         if report.load is not None:
             self._drop_lost(worker, report.load, now)
-        if report.ending == Ending.ANSWERED.value:
+        if good:
             self._find_latency(report.route, report.latency * 4.0)
         evidence.judge_attempt(
             worker, report, self.latencies, self.quarantine, alone, now
@@ -413,7 +470,7 @@
             elif now >= waiting.expires:
                 wait = self.estimate_wait(waiting.ask, now)
                 answer = self._refuse(
-                    waiting.ask, Reason.EXPIRED, self._spread(wait)
+                    waiting.ask, Reason.EXPIRED, self._spread(wait), now
                 )
             else:
                 left.append(waiting)
--- a/packages/coordination/acaciafield/gateway/nodes.py
+++ b/packages/coordination/acaciafield/gateway/nodes.py
@@ -10,6 +10,7 @@
 UNANSWERED_TIME = 2.5  # seconds without coordinators that end readiness
 ALONE_AFTER = 1.0  # seconds without a coordinator before a node acts alone
 SWEEP_PERIOD = 1.0  # seconds between sweeps of lost reports
+FLOOR_PERIOD = 0.5  # seconds between looks at the use of the workers
 
 
 class BeatTimer(structs.Struct):
@@ -24,6 +25,12 @@
     __slots__ = ()
 
 
+class FloorTimer(structs.Struct):
+    """The use of the workers is to be looked at."""
+
+    __slots__ = ()
+
+
 class DispatchTimer(structs.Struct):
     """Queues are to be looked at."""
 
@@ -108,6 +115,15 @@
             return None
         return round(now - self.store_at, 2)
 
+    def read_used_shares(self, now):
+        """Return the share of the sound workers with work, by service."""
+        found = {}
+        for name, desk in self.desks.items():
+            usage = desk.measure_usage(now)
+            if usage is not None:
+                found[name] = round(usage.share, 3)
+        return found
+
     def has_followers(self):
         """Tell whether other nodes send their heartbeats to this one."""
         return any(name != self.own.name for name in self.registry.table)
@@ -118,6 +134,7 @@
         for desk in self.desks.values():
             desk.budget.ratio = terms.ratio
             desk.budget.slack = terms.slack
+            desk.floor = terms.floor
 
     def dump_knowledge(self, now):
         """Return what the desks know, for another coordinator."""
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -418,7 +418,8 @@
             "held_answer_bytes": self.upstream.held,
             "slow_heads_closed": self._front.closed_heads,
         }
-        return self.meters.format(gauges).encode()
+        shares = self.state.read_used_shares(now)
+        return self.meters.format(gauges, shares).encode()
 
     def _flush_log(self):
         self.log.flush()
--- a/packages/daemon/acaciafield_daemon/gateway/meters.py
+++ b/packages/daemon/acaciafield_daemon/gateway/meters.py
@@ -31,12 +31,21 @@
             self.latencies[route] = found
         found.record_value(max(LOWEST, int(seconds * 1000)))
 
-    def format(self, gauges):
-        """Return all as text; ``gauges`` maps a name to a number."""
+    def format(self, gauges, used_shares):
+        """Return all as text; ``gauges`` maps a name to a number.
+
+        ``used_shares`` maps a service to the share of its sound workers
+        that get work.
+        """
         lines = []
         for name, value in sorted(gauges.items()):
             lines.append("# TYPE acaciafield_%s gauge" % name)
             lines.append("acaciafield_%s %s" % (name, value))
+        for service, share in sorted(used_shares.items()):
+            lines.append(
+                'acaciafield_used_worker_share{service="%s"} %s'
+                % (service, share)
+            )
         for (name, labels), count in sorted(self.counts.items()):
             text = ",".join('%s="%s"' % label for label in labels)
             lines.append("acaciafield_%s_total{%s} %d" % (name, text, count))
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -9,7 +9,7 @@
 from acaciafield.gateway import nodes
 from acaciafield.gateway import routes
 
-TERMS = granting.Terms(ratio=0.2, slack=20.0, window=10.0)
+TERMS = granting.Terms(ratio=0.2, slack=20.0, window=10.0, floor=0.7)
 
 
 def make_entry(worker_id="w1", **fields):
--- /dev/null
+++ b/tests/test_gateway_floors.py
@@ -0,0 +1,87 @@
+"""The floor: what a desk measures, logs and holds."""
+
+from acaciafield.gateway import coordination
+from acaciafield.gateway import effects
+from acaciafield.gateway import events
+from acaciafield.gateway import floors
+from tests import gateway_support as support
+
+
+def make_coordinator(count, **fields):
+    """Return the state of a coordinator of ``count`` workers, at 10 s."""
+    state = support.make_state()
+    state.start(10.0)
+    entries = [
+        support.make_entry("w%d" % number, **fields)
+        for number in range(1, count + 1)
+    ]
+    coordination.reduce_event(state, events.WorkersRead(10.0, entries))
+    ask(state, 0, 10.0)
+    return state
+
+
+def ask(state, number, now, **fields):
+    message = support.make_ask("r%d:1" % number, **fields)
+    return support.receive(state, message, now)
+
+
+def tick(state, now):
+    """Let time pass; return the notes by kind."""
+    out = coordination.reduce_event(state, events.Tick(now))
+    notes = support.pick(out, effects.Note)
+    return {note.kind: note.fields for note in notes}
+
+
+def test_worker_counts_as_sound_again_when_its_failure_is_past():
+    desk = support.make_desk(3, now=10.0)
+    desk.workers["w1"].note_failure(10.5)
+    workers, latencies = desk.workers.values(), desk.latencies
+    usage = floors.measure_usage(workers, latencies, 12.4)
+    assert usage.sound == 2
+    usage = floors.measure_usage(workers, latencies, 12.6)
+    assert usage.sound == 3
+    assert usage.share == 0.0
+    assert usage.rested[-1].entry.worker_id == "w1"
+
+
+def test_leaving_worker_is_not_counted():
+    desk = support.make_desk(2, now=10.0, draining=True)
+    usage = floors.measure_usage(desk.workers.values(), {}, 13.0)
+    assert (usage.sound, usage.share) == (0, 1.0)
+
+
+def test_share_below_the_floor_is_logged_with_what_keeps_workers_idle():
+    state = make_coordinator(6)
+    desk = state.find_desk("orders")
+    ask(state, 1, 13.0, idempotent=False)
+    desk.workers["w6"].risk = 0.6
+    desk.workers["w6"].risk_at = 13.0
+    fields = tick(state, 13.2)["floor"]
+    assert fields["service"] == "orders"
+    assert (fields["sound"], fields["floor"]) == (6, 0.7)
+    assert fields["share"] < 0.7
+    worker_id, risk, rested = fields["rested"][-1]
+    assert (worker_id, rested) == ("w6", 3.2)
+    assert risk > 0.5
+    assert "budget_used" in fields
+
+
+def test_floor_is_logged_as_held_again():
+    state = make_coordinator(2)
+    ask(state, 1, 13.0)
+    assert "floor" in tick(state, 13.2)
+    ask(state, 2, 13.6)
+    assert tick(state, 13.8)["floor-held"]["share"] == 1.0
+    assert "floor-held" not in tick(state, 14.4)
+
+
+def test_desk_that_nobody_asks_does_not_judge_the_floor():
+    state = make_coordinator(2)
+    assert not {"floor", "floor-held"} & set(tick(state, 12.9))
+    assert state.read_used_shares(12.9) == {}
+
+
+def test_used_share_is_read_for_each_service_that_is_asked_for():
+    state = make_coordinator(2)
+    ask(state, 1, 13.0)
+    assert state.read_used_shares(13.1) == {"orders": 0.5}
