Hold the floor: a rested sound worker is due for a request

Callers saw: requests refused or lost while up to half of a service's workers had no work. Cause: nothing held the floor. A worker that failed came back by the decay of its risk (5 s, up to 24 s after failures in a row) or by a request that could be repeated, as long as half of the repeat budget was left. Where all work runs once, or the budget was used, sound workers stayed out. Change: floors.Turns. While fewer sound workers than the floor and a margin got work within 1.6 s, the next first attempt goes to the least risky of those that rested, whatever the work; requests that can be repeated do so up to a wider margin. Workers that hang, leave or that two nodes cannot reach are no sound ones. Ruled out: a margin of 0.1, or turns for all (up to twice the failed orders); acting only once a share of requests fails, as the window is then half over.

--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -200,8 +200,7 @@
         if known is not None:
             rest = min(MOST_PATH_REST, 2.0 * known[1])
         self.bad_paths[node] = (now + rest, rest)
-        live = sum(1 for until, _ in self.bad_paths.values() if until > now)
-        self.note_failure(now, 0.3 if live < 2 else 1.0)
+        self.note_failure(now, 1.0 if self.is_out_of_reach(now) else 0.3)
 
     def note_good_path(self, node):
         """Forget that a node failed to connect."""
@@ -212,6 +211,11 @@
         known = self.bad_paths.get(node)
         return known is not None and known[0] > now
 
+    def is_out_of_reach(self, now):
+        """Tell whether two nodes or more failed to connect lately."""
+        live = sum(1 for until, _ in self.bad_paths.values() if until > now)
+        return live >= 2
+
     def estimate_hang(self, latencies, now):
         """Return the risk that what runs here gets no answer.
 
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -114,6 +114,7 @@
         "flights",
         "priorities",
         "floor",
+        "turns",
         "short",
         "asked_at",
         "endings",
@@ -133,6 +134,7 @@
         self.flights = {}
         self.priorities = budgets.RecentShares(terms.window)
         self.floor = terms.floor
+        self.turns = floors.Turns()
         self.short = False
         self.asked_at = None
         self.endings = budgets.RecentShares(floors.WINDOW)
@@ -283,10 +285,21 @@
         return latency
 
     def choose_worker(self, ask, now, bearable=1.0):
-        """Return the best worker for an ask, or None; see placing."""
+        """Return the best worker for an ask, or None; see placing.
+
+        A first attempt goes to a worker that is due, if the floor asks
+        for it.
+        """
+        workers = self.workers.values()
+        if not ask.repeats:
+            self.turns.look(workers, self.latencies, now)
+            share = self._find_used_share(ask, now)
+            worker = self.turns.choose_worker(ask, share, now)
+            if worker is not None:
+                return worker
         size = self._find_latency(ask.route, ask.target).size
         return placing.choose_worker(
-            self.workers.values(),
+            workers,
             ask,
             now,
             bearable,
@@ -295,6 +308,16 @@
             self._may_scout(ask, now),
         )
 
+    def _find_used_share(self, ask, now):
+        """Return the share of sound workers for which an ask is used.
+
+        A failure costs little where another attempt follows.
+        """
+        margin = floors.MARGIN
+        if not ask.last and self.budget.measure(now) < 1.0:
+            margin = floors.RETRY_MARGIN
+        return min(1.0, self.floor + margin)
+
     def _may_scout(self, ask, now):
         if ask.last or ask.repeats:
             return False
--- a/tests/test_gateway_floors.py
+++ b/tests/test_gateway_floors.py
@@ -85,3 +85,60 @@
     state = make_coordinator(2)
     ask(state, 1, 13.0)
     assert state.read_used_shares(13.1) == {"orders": 0.5}
+
+
+def use_all(desk, now, but=()):
+    """Let all workers but some have got work at a time."""
+    for name, worker in desk.workers.items():
+        if name not in but:
+            worker.granted_at = now
+
+
+def decide(desk, ask_id, now, **fields):
+    return desk.decide(support.make_ask(ask_id, **fields), "", now)
+
+
+def test_order_goes_to_the_least_risky_worker_where_the_floor_asks_for_it():
+    desk = support.make_desk(10, now=10.0, slots=6)
+    bad = ("w1", "w2", "w3", "w4")
+    for name in bad:
+        desk.workers[name].note_failure(11.0)
+    desk.workers["w3"].note_failure(11.0)
+    use_all(desk, 12.8, but=bad)
+    names = [
+        decide(desk, "r%d:1" % n, 13.0, idempotent=False).worker_id
+        for n in range(6)
+    ]
+    assert len({"w1", "w2", "w4"} & set(names)) == 2
+    assert "w3" not in names
+
+
+def test_second_attempt_takes_no_turn():
+    desk = support.make_desk(3, now=10.0, slots=6)
+    desk.workers["w1"].note_failure(11.0)
+    use_all(desk, 12.8, but=("w1",))
+    answer = decide(desk, "r1:2", 13.0, repeats=1, last=True, avoid=["w2"])
+    assert answer.worker_id == "w3"
+
+
+def test_worker_that_two_nodes_cannot_reach_takes_no_order():
+    desk = support.make_desk(3, now=10.0, slots=6)
+    for node in ("n1", "n2"):
+        desk.workers["w1"].note_bad_path(node, 11.0)
+    use_all(desk, 12.8, but=("w1",))
+    answer = decide(desk, "r1:1", 13.0, idempotent=False, node="n3")
+    assert answer.worker_id != "w1"
+
+
+def test_worker_that_leaves_takes_no_turn():
+    desk = support.make_desk(2, now=10.0, slots=6)
+    desk.workers["w1"].entry.draining = True
+    use_all(desk, 12.8, but=("w1",))
+    assert decide(desk, "r1:1", 13.0).worker_id == "w2"
+
+
+def test_changed_floor_of_the_settings_is_held():
+    state = make_coordinator(4)
+    terms = support.TERMS
+    state.take_terms(type(terms)(terms.ratio, terms.slack, 10.0, 0.2))
+    assert state.desks["orders"].floor == 0.2
