Believe no word of a worker that is older than its departure

A record may come late, so that the newest one is older than the worker's departure; a reader that was there passes it over, a new one believes it until the worker writes again, 1.5 s later. What it fetched from another coordinator was dropped if the store had answered first, and what it had known itself on an earlier duty was forgotten. Change: rosters.Roster compares whatever it takes over, from the store, another node or its own past, by the worker's own count of its writings. Departures go with a coordinator's answers to the heartbeats of its zone. A grant carries that count and the age of the list; a host that knows better does not use it, tells the coordinator and asks another. Lines: gateway:departed, gateway:grant-stale, granter and list_age in gateway:attempt. Tests of late records failed before.

--- a/packages/coordination/acaciafield/gateway/beats.py
+++ b/packages/coordination/acaciafield/gateway/beats.py
@@ -123,6 +123,7 @@
         state.informed = False
         state.desks.clear()
         state.entries = None
+        state.roster.stop_following()
         out.append(effects.FollowStore(False))
         out.append(effects.Note("duty", {"taken": False}))
     if state.following and not state.informed:
@@ -170,7 +171,9 @@
     rows = None
     if message.wants_list and message.digest != registry.digest:
         rows = registry.list_rows()
-    answer = _make_answer(state, rows)
+    # The coordinator of its own zone tells each node who left.
+    departed = state.roster.list_news(now) if message.wants_list else ()
+    answer = _make_answer(state, rows, departed)
     if message.name == state.own.name:
         _receive_answer(answer, state, "", now, out)
     else:
@@ -180,7 +183,7 @@
         _push_list(state, out)
 
 
-def _make_answer(state, rows):
+def _make_answer(state, rows, departed=()):
     return messages.BeatAnswer(
         state.own.name,
         state.own.born,
@@ -190,6 +193,7 @@
         state.leaving,
         state.registry.digest,
         rows,
+        departed,
     )
 
 
@@ -224,6 +228,8 @@
     contact.leaving = message.leaving
     state.answered_at = now
     state.coordinated = True
+    if message.departed:
+        take_departed(message.departed, message.name, state, now, out)
     if message.members is not None:
         chosen = state.view.find_coordinator(state.own.zone, now)
         if chosen is contact or chosen is None or chosen.is_silent(now):
@@ -231,6 +237,22 @@
     _compare_version(message.config_version, contact.member.ip, state, out)
 
 
+def take_departed(rows, source, state, now, out):
+    """Take in which workers left, and use them no longer."""
+    known = state.roster.departed
+    fresh = [row for row in rows if row[0] not in known]
+    if fresh:
+        fields = {"workers": fresh, "told_by": source}
+        out.append(effects.Note("departed", fields))
+    if state.roster.take_departed(rows, now) and state.entries is not None:
+        state.list_entries()
+
+
+@handlers.receive_message.register
+def _receive_departed(message: messages.Departed, state, sender, now, out):
+    take_departed(message.rows, sender, state, now, out)
+
+
 def _compare_version(version, ip, state, out):
     if version > state.config_version and ip != state.own.ip:
         out.append(effects.FetchConfiguration(ip, version))
--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -7,6 +7,7 @@
 from acaciafield.gateway import beats
 from acaciafield.gateway import effects
 from acaciafield.gateway import events
+from acaciafield.gateway import granting
 from acaciafield.gateway import handlers
 from acaciafield.gateway import messages
 from acaciafield.gateway import nodes
@@ -37,7 +38,8 @@
 @handlers.apply_event.register
 def _apply_workers(event: events.WorkersRead, state, now, out):
     state.store_at = now
-    _take_entries(event.entries, state, now, out)
+    state.roster.take_list(event.entries, now)
+    _list_entries(state, now, out)
     beats.confirm_store(state, now, out)
 
 
@@ -46,19 +48,17 @@
     state.informed = True
     if state.entries is None:
         state.store_at = now - event.age
-        _take_entries(event.entries, state, now, out)
+    state.roster.take_fetched(event.entries, event.departed, now)
+    _list_entries(state, now, out)
     for service, document in event.knowledge.items():
         state.find_desk(service).load(document, now)
     fields = {"age": event.age, "services": len(event.knowledge)}
     out.append(effects.Note("workers-fetched", fields))
 
 
-def _take_entries(entries, state, now, out):
-    state.entries = {}
-    for entry in entries:
-        state.entries.setdefault(entry.service, []).append(entry)
+def _list_entries(state, now, out):
+    state.list_entries()
     for desk in state.desks.values():
-        state.fill_desk(desk)
         _dispatch(desk, state, now, out)
 
 
@@ -123,6 +123,7 @@
 def _answer_ask(answer, ask, state, sender, out):
     if isinstance(answer, messages.Grant):
         answer.granter = state.own.name
+        answer.list_age = state.read_store_age(state.now)
     _send(state, sender, answer, out)
     if isinstance(answer, messages.Queued):
         return
@@ -216,7 +217,30 @@
         _dispatch(desk, state, now, out)
 
 
-@handlers.receive_message.register(messages.Grant)
+@handlers.receive_message.register
+def _receive_grant(message: messages.Grant, state, sender, now, out):
+    """Hand a grant on, unless its coordinator's list is too old."""
+    worker_id = message.worker_id
+    if not state.roster.is_departed(worker_id, message.age):
+        out.append(effects.Deliver(message))
+        return
+    departed = state.roster.departed[worker_id]
+    fields = {
+        "ask": message.ask_id,
+        "worker": worker_id,
+        "granter": message.granter,
+        "list_age": message.list_age,
+        "granted_age": message.age,
+        "departed_age": departed,
+    }
+    out.append(effects.Note("grant-stale", fields))
+    _send(state, sender, messages.Departed([[worker_id, *departed]]), out)
+    refusal = messages.Refusal(
+        message.ask_id, granting.Reason.STALE, granting.LEAST_RETRY_AFTER
+    )
+    out.append(effects.Deliver(refusal))
+
+
 @handlers.receive_message.register(messages.Queued)
 @handlers.receive_message.register(messages.Refusal)
 def _receive_reply(message, state, sender, now, out):
--- a/packages/coordination/acaciafield/gateway/events.py
+++ b/packages/coordination/acaciafield/gateway/events.py
@@ -21,11 +21,12 @@
 class WorkersFetched(structs.Struct):
     """Another coordinator's list of workers, ``age`` seconds old.
 
-    ``knowledge`` maps a service to what granting.Desk.dump returned.
+    ``knowledge`` maps a service to what granting.Desk.dump returned;
+    ``departed`` has rows as rosters.Roster.list_departed.
     """
 
-    __slots__ = ("now", "entries", "age", "knowledge")
-    DEFAULTS = {"knowledge": {}}
+    __slots__ = ("now", "entries", "age", "knowledge", "departed")
+    DEFAULTS = {"knowledge": {}, "departed": ()}
 
 
 class StoreHeard(structs.Struct):
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -47,6 +47,7 @@
     BUDGET = "budget"
     QUARANTINED = "quarantined"
     EXPIRED = "expired"
+    STALE = "stale"
 
 
 class Ended(enum.IntEnum):
@@ -149,7 +150,9 @@
             worker = self.workers.get(worker_id)
             if worker is None:
                 self.workers[worker_id] = backends.Worker(entry, now)
-            elif entry != worker.entry:
+            elif entry.says_same(worker.entry):
+                worker.entry = entry
+            else:
                 worker.take_entry(entry, now)
 
     def dump(self, now):
@@ -204,8 +207,9 @@
         self.asked_at = now
         self.priorities.add(ask.priority, now)
         flight = self.flights.get(ask.ask_id)
-        if flight is not None and flight.ask_id in flight.worker.flights:
+        if flight is not None and _may_keep(flight, ask):
             return self._make_grant(ask, flight.worker)
+        self._drop_flight(ask.ask_id)
         if any(w.ask.ask_id == ask.ask_id for w in self.queue):
             return messages.Queued(ask.ask_id)
         refusal = self._find_refusal(ask, now)
@@ -367,6 +371,7 @@
             worker.entry.worker_id,
             worker.entry.address,
             round(hedge, 3),
+            age=list(worker.entry.age),
         )
 
     def describe_choice(self, worker_id, now):
@@ -508,3 +513,11 @@
         for ask_id, flight in list(self.flights.items()):
             if now > flight.expires + slack:
                 self._drop_flight(ask_id)
+
+
+def _may_keep(flight, ask):
+    """Tell whether an ask that comes again keeps its worker."""
+    worker = flight.worker
+    if worker.entry.draining or worker.entry.worker_id in ask.avoid:
+        return False
+    return flight.ask_id in worker.flights
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -38,12 +38,22 @@
     """A coordinator gives a worker to an ask.
 
     ``hedge_after`` is the latency after which a second attempt is
-    likely to finish first; ``granter`` the coordinator's name.
+    likely to finish first; ``granter`` the coordinator's name. ``age``
+    is the [born, sequence] of the worker's entry that it knows, from a
+    list that is ``list_age`` seconds old.
     """
 
     KIND = 2
-    __slots__ = ("ask_id", "worker_id", "address", "hedge_after", "granter")
-    DEFAULTS = {"granter": ""}
+    __slots__ = (
+        "ask_id",
+        "worker_id",
+        "address",
+        "hedge_after",
+        "granter",
+        "age",
+        "list_age",
+    )
+    DEFAULTS = {"granter": "", "age": (0, 0), "list_age": None}
 
 
 class Queued(structs.Struct):
@@ -135,7 +145,8 @@
     None while it knows no workers; ``hears_store`` whether its last
     reading succeeded;
     ``members`` is None where the digests agree, else rows of name, born,
-    ip, zone, weight, ready.
+    ip, zone, weight, ready; ``departed`` rows of the workers that left
+    lately: worker id, born, sequence.
     """
 
     KIND = 9
@@ -148,7 +159,9 @@
         "leaving",
         "digest",
         "members",
+        "departed",
     )
+    DEFAULTS = {"departed": ()}
 
 
 class ConfigNotice(structs.Struct):
@@ -158,6 +171,13 @@
     __slots__ = ("name", "config_version")
 
 
+class Departed(structs.Struct):
+    """Workers that left: rows of worker id, born, sequence."""
+
+    KIND = 11
+    __slots__ = ("rows",)
+
+
 BY_KIND = {
     message.KIND: message
     for message in (
@@ -171,6 +191,7 @@
         Beat,
         BeatAnswer,
         ConfigNotice,
+        Departed,
     )
 }
 
--- a/packages/coordination/acaciafield/gateway/nodes.py
+++ b/packages/coordination/acaciafield/gateway/nodes.py
@@ -4,6 +4,7 @@
 
 from acaciafield.gateway import granting
 from acaciafield.gateway import members
+from acaciafield.gateway import rosters
 from acaciafield import structs
 from acaciafield import timers
 
@@ -50,6 +51,7 @@
         "registry",
         "desks",
         "entries",
+        "roster",
         "duty_until",
         "following",
         "informed",
@@ -74,6 +76,7 @@
         self.registry = members.Registry(own.zone)
         self.desks = {}
         self.entries = None
+        self.roster = rosters.Roster()
         self.duty_until = 0.0
         self.following = False
         self.informed = False
@@ -109,6 +112,14 @@
         if self.entries is not None:
             desk.take_entries(self.entries.get(desk.service, ()), self.now)
 
+    def list_entries(self):
+        """Arrange the workers of the roster by service."""
+        self.entries = {}
+        for entry in self.roster.entries.values():
+            self.entries.setdefault(entry.service, []).append(entry)
+        for desk in self.desks.values():
+            self.fill_desk(desk)
+
     def read_store_age(self, now):
         """Return how old the list of workers is, None without one."""
         if self.store_at is None or self.entries is None:
--- /dev/null
+++ b/packages/coordination/acaciafield/gateway/rosters.py
@@ -0,0 +1,128 @@
+"""The roster: which workers there are, and which are known to have left.
+
+Lists of workers come from the store, where an old record may be written
+after a newer one, and from other nodes, whose lists may be old. Each
+worker counts its own writings, and no word of a worker is believed that
+is older than its departure.
+"""
+
+import collections
+
+from acaciafield import structs
+
+MOST_DEPARTED = 1000  # workers whose departure is remembered
+NEWS_TIME = 3.0  # seconds for which other nodes are told of a departure
+NEVER = (-1, -1)  # before any writing of a worker
+
+
+class News(structs.Struct):
+    """A departure learned at ``at`` seconds; ``age`` as WorkerEntry's."""
+
+    __slots__ = ("at", "worker_id", "age")
+
+
+class Roster:
+    """The workers that a node knows, by identifier.
+
+    ``departed`` maps a worker to the age of its last writing before it
+    left; a draining worker has left. ``entries`` stay when a node ceases
+    to coordinate, so that a later list is compared to them.
+    """
+
+    __slots__ = ("entries", "departed", "_news", "_following")
+
+    def __init__(self):
+        self.entries = {}
+        self.departed = {}
+        self._news = collections.deque()
+        self._following = False
+
+    def stop_following(self):
+        """Note that changes of the store's list are missed from now on."""
+        self._following = False
+
+    def take_list(self, entries, now):
+        """Replace the workers by the store's list.
+
+        Those that are missing have left, unless changes were missed.
+        """
+        before = self.entries
+        self._replace(entries, now)
+        if self._following:
+            for worker_id, entry in before.items():
+                if worker_id not in self.entries:
+                    self._note_departed(worker_id, entry.age, now)
+        self._following = True
+
+    def take_fetched(self, entries, rows, now):
+        """Take in another node's list and rows of departures.
+
+        It replaces what is known only while the store was not read. It
+        never adds a worker that the store does not list.
+        """
+        self.take_departed(rows, now)
+        if not self._following:
+            self._replace(entries, now)
+            return
+        for entry in entries:
+            if entry.worker_id in self.entries:
+                chosen = self._choose(entry, now)
+                self.entries.pop(entry.worker_id, None)
+                if chosen is not None:
+                    self.entries[entry.worker_id] = chosen
+
+    def take_departed(self, rows, now):
+        """Take in rows of worker id, born and sequence.
+
+        Return whether the workers changed.
+        """
+        changed = False
+        for worker_id, *age in rows:
+            changed |= self._note_departed(worker_id, tuple(age), now)
+        return changed
+
+    def list_departed(self):
+        """Return all departures as rows of worker id, born, sequence."""
+        return [[w, *age] for w, age in self.departed.items()]
+
+    def list_news(self, now):
+        """Return the departures learned lately, as rows."""
+        while self._news and now - self._news[0].at > NEWS_TIME:
+            self._news.popleft()
+        return [[news.worker_id, *news.age] for news in self._news]
+
+    def is_departed(self, worker_id, age):
+        """Tell whether a worker left after its writing of an age."""
+        return tuple(age) <= self.departed.get(worker_id, NEVER)
+
+    def _replace(self, entries, now):
+        chosen = [self._choose(entry, now) for entry in entries]
+        self.entries = {e.worker_id: e for e in chosen if e is not None}
+
+    def _choose(self, entry, now):
+        """Return the newest entry of a worker, None if it left."""
+        worker_id = entry.worker_id
+        known = self.entries.get(worker_id)
+        if known is not None and known.age > entry.age:
+            entry = known
+        if entry.draining:
+            self._note_departed(worker_id, entry.age, now)
+        elif self.is_departed(worker_id, entry.age):
+            return None
+        return entry
+
+    def _note_departed(self, worker_id, age, now):
+        """Remember a departure; return whether a listed worker left."""
+        known = self.entries.get(worker_id)
+        listed = known is not None and not known.draining
+        listed = listed and known.age <= age
+        if listed:
+            del self.entries[worker_id]
+        before = self.departed.pop(worker_id, NEVER)
+        self.departed[worker_id] = max(before, age)
+        while len(self.departed) > MOST_DEPARTED:
+            del self.departed[next(iter(self.departed))]
+        # A draining worker writes on, which is no news.
+        if listed or before[0] < age[0]:
+            self._news.append(News(now, worker_id, age))
+        return listed
--- a/packages/daemon/acaciafield_daemon/gateway/asking.py
+++ b/packages/daemon/acaciafield_daemon/gateway/asking.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+from acaciafield.gateway import granting
 from acaciafield.gateway import messages
 
 FIRST_TIMEOUT = 0.06  # seconds; a hop and back with a busy coordinator
@@ -40,6 +41,14 @@
             return
 
 
+def _is_stale(answer):
+    """Tell whether a coordinator named a worker that has left."""
+    return (
+        isinstance(answer, messages.Refusal)
+        and answer.reason == granting.Reason.STALE
+    )
+
+
 class Asker:
     """Sends the asks of a node's requests."""
 
@@ -72,7 +81,10 @@
                     return pending.answer
                 ask.left = round(left_at - self.clock(), 3)
                 answer = await self._ask_one(name, ask, pending, timeout)
-                if answer is not None:
+                if _is_stale(answer):
+                    self.withdraw(ask)
+                    pending.answer = None
+                elif answer is not None:
                     return answer
                 timeout = min(MOST_TIMEOUT, 2.0 * timeout)
         finally:
--- a/packages/daemon/acaciafield_daemon/gateway/entry.py
+++ b/packages/daemon/acaciafield_daemon/gateway/entry.py
@@ -322,6 +322,8 @@
             request=call.message.request_id,
             ask=ask.ask_id,
             worker=grant.worker_id,
+            granter=grant.granter,
+            list_age=grant.list_age,
             ending=result.ending.value,
             status=result.status,
             latency=round(result.latency, 3),
--- a/packages/daemon/acaciafield_daemon/gateway/feeds.py
+++ b/packages/daemon/acaciafield_daemon/gateway/feeds.py
@@ -200,9 +200,11 @@
             changed = table.apply(rows, whole, now)
             changed |= table.expire(now)
             self.hooks.hear_store()
-            if changed or first:
+            # Sequences that count on are needed to tell old words from new.
+            if rows or changed or first:
+                listed = list(table.entries.values())
+                self.hooks.take_workers(listed, changed or first)
                 first = False
-                self.hooks.take_workers(list(table.entries.values()))
             alone = self.hooks.is_alone()
             await asyncio.sleep(ALONE_PERIOD if alone else WORKERS_PERIOD)
 
--- a/packages/daemon/acaciafield_daemon/gateway/gateway.py
+++ b/packages/daemon/acaciafield_daemon/gateway/gateway.py
@@ -243,6 +243,7 @@
                 "age": age,
                 "workers": rows,
                 "knowledge": self.state.dump_knowledge(self.clock()),
+                "departed": self.state.roster.list_departed(),
             }
         )
 
@@ -260,13 +261,14 @@
         """Take note that the store failed to answer."""
         self._feed(events.StoreLost)
 
-    def take_workers(self, found):
+    def take_workers(self, found, changed):
         """Take in the list of workers."""
-        self.log.write(
-            "workers",
-            listed=len(found),
-            draining=[w.worker_id for w in found if w.draining],
-        )
+        if changed:
+            self.log.write(
+                "workers",
+                listed=len(found),
+                draining=[w.worker_id for w in found if w.draining],
+            )
         self._feed(events.WorkersRead, found)
 
     def take_configuration(self, raw):
@@ -357,6 +359,7 @@
             found,
             document["age"],
             document["knowledge"],
+            document["departed"],
         )
 
     async def _fetch_document(self, ip, name):
--- /dev/null
+++ b/tests/gateway_departures.py
@@ -0,0 +1,205 @@
+"""A play of workers that leave, under cuts, outages and late records."""
+
+import collections
+import random
+
+from acaciafield.gateway import events
+from acaciafield.gateway import messages
+from acaciafield.gateway import rosters
+from tests import gateway_fleet
+from tests import gateway_support as support
+
+ZONES = 3
+NODES = 6  # in each zone
+WORKERS = 10
+SETTLED = 10.0  # seconds
+END = 34.0  # seconds
+HEARTBEAT = 1.5  # seconds between the writings of a worker
+ASK_PERIOD = 0.02  # seconds
+CALM = 3.0  # seconds without faults after which a node is in touch
+
+
+class Use:
+    """A grant that a node used."""
+
+    __slots__ = ("at", "node", "worker_id", "age")
+
+    def __init__(self, at, node, worker_id, age):
+        self.at = at
+        self.node = node
+        self.worker_id = worker_id
+        self.age = tuple(age)
+
+    def __repr__(self):
+        return "%s at %s: %s %s" % (
+            self.node,
+            round(self.at, 2),
+            self.worker_id,
+            self.age,
+        )
+
+
+class DepartureFleet(gateway_fleet.Fleet):
+    """A fleet that records which grants its nodes use."""
+
+    def __init__(self):
+        super().__init__(ZONES, NODES)
+        self.uses = []
+        # The age of each departure that a node itself read, by worker.
+        self.acknowledged = collections.defaultdict(dict)
+        self.used_departed = []
+
+    def note_read(self, state, entries):
+        known = self.acknowledged[state.own.name]
+        for entry in entries:
+            if entry.draining:
+                before = known.get(entry.worker_id, rosters.NEVER)
+                known[entry.worker_id] = max(before, entry.age)
+
+    def note_delivered(self, state, message):
+        if not isinstance(message, messages.Grant):
+            return
+        name, worker_id = state.own.name, message.worker_id
+        use = Use(self.now, name, worker_id, message.age)
+        self.uses.append(use)
+        known = self.acknowledged[name].get(worker_id, rosters.NEVER)
+        if use.age <= known:
+            self.used_departed.append(use)
+
+
+class DeparturePlay:
+    """One play, drawn from a seed."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.fleet = DepartureFleet()
+        self.fleet.entries = [
+            support.make_entry("w%d" % number, slots=9)
+            for number in range(1, WORKERS + 1)
+        ]
+        self.left_at = {}
+        self.faults = collections.defaultdict(list)
+        self.count = 0
+
+    @property
+    def grants_used(self):
+        """The number of grants that nodes used."""
+        return len(self.fleet.uses)
+
+    def run(self):
+        """Play to the end."""
+        fleet = self.fleet
+        fleet.start()
+        for number in range(1, WORKERS + 1):
+            phase = self.random.uniform(0.0, HEARTBEAT)
+            self._plan_heartbeat("w%d" % number, phase)
+        fleet.run_until(SETTLED)
+        fleet.plan(SETTLED, self._ask)
+        for _ in range(4):
+            self._plan_departure()
+            self._plan_fault()
+            self._plan_fault()
+        fleet.run_until(END)
+
+    def list_uses_of_known_departed(self):
+        """Return the uses of a worker that the node knew had left."""
+        return self.fleet.used_departed
+
+    def list_late_uses_in_touch(self, bound):
+        """Return uses later than ``bound`` seconds after the departure."""
+        return [
+            use
+            for use in self.fleet.uses
+            if use.worker_id in self.left_at
+            and use.at > self.left_at[use.worker_id] + bound
+            and self._is_in_touch(use.node, use.at)
+        ]
+
+    def _is_in_touch(self, name, now):
+        spans = self.faults[name] + self.faults["store"]
+        return not any(a <= now and now - CALM <= b for a, b in spans)
+
+    def _write(self, worker_id, **fields):
+        """Write a worker's next entry to the store."""
+        entries = self.fleet.entries
+        for place, entry in enumerate(entries):
+            if entry.worker_id == worker_id:
+                values = {n: getattr(entry, n) for n in entry.__slots__}
+                values["sequence"] += 1
+                newer = type(entry)(**(values | fields))
+                self.fleet.entries = [*entries]
+                self.fleet.entries[place] = newer
+                return entry
+
+    def _plan_heartbeat(self, worker_id, at):
+        def beat(now):
+            left = worker_id in self.left_at
+            if not self.fleet.down:
+                # A late record took the place of a newer one.
+                self._write(worker_id, sequence=self._count(), draining=left)
+            self._plan_heartbeat(worker_id, now + HEARTBEAT)
+
+        self.fleet.plan(at, beat)
+
+    def _count(self):
+        self.count += 1
+        return 1000 + self.count
+
+    def _plan_departure(self):
+        worker_id = "w%d" % self.random.randint(1, WORKERS)
+        late = self.random.random() < 0.7
+
+        def leave(now):
+            if worker_id in self.left_at or self.fleet.down:
+                return
+            self.left_at[worker_id] = now
+            old = self._write(worker_id, sequence=self._count(), draining=True)
+            if late:
+                after = self.random.uniform(0.0, 8.0)
+                self.fleet.plan(now + after, lambda _: self._put_back(old))
+
+        self.fleet.plan(self.random.uniform(12.0, 26.0), leave)
+
+    def _put_back(self, old):
+        """Write an old record of a worker after its newer ones."""
+        self.fleet.entries = [
+            old if entry.worker_id == old.worker_id else entry
+            for entry in self.fleet.entries
+        ]
+
+    def _plan_fault(self):
+        fleet = self.fleet
+        start = self.random.uniform(12.0, 26.0)
+        end = start + self.random.uniform(0.5, 8.0)
+        kind = self.random.choice(("cut", "cut", "refuse", "refuse", "down"))
+        if kind == "down":
+            end = min(end, start + 4.0)
+            self.faults["store"].append((start, end))
+            fleet.plan(start, lambda _: setattr(fleet, "down", True))
+            fleet.plan(end, lambda _: setattr(fleet, "down", False))
+            return
+        names = self.random.sample(sorted(fleet.states), 6)
+        if self.random.random() < 0.5:
+            names += fleet.list_on_duty()[:2]
+        for name in names:
+            self.faults[name].append((start, end))
+            if kind == "cut":
+                fleet.plan(start, lambda _, n=name: fleet.cut(n))
+                fleet.plan(end, lambda _, n=name: fleet.heal(n))
+            fleet.plan(start, lambda _, n=name: fleet.refused.add(n))
+            fleet.plan(end, lambda _, n=name: fleet.refused.discard(n))
+
+    def _ask(self, now):
+        fleet = self.fleet
+        state = fleet.states[self.random.choice(sorted(fleet.states))]
+        alone = state.may_act_alone(now)
+        name = state.view.rank_coordinators("orders", now, alone)[0]
+        self.count += 1
+        ask = support.make_ask(
+            "q%d:1" % self.count, left=0.05, node=state.own.name
+        )
+        if name == state.own.name:
+            fleet.feed(state, events.MessageReceived(now, "", ask))
+        else:
+            fleet.deliver(state.own.ip, fleet.states[name].own.ip, ask)
+        fleet.plan(now + ASK_PERIOD, self._ask)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -22,6 +22,7 @@
         self.state = state
         self.active = True
         self.pause = feeds.RETRY_PAUSE
+        self.table = feeds.WorkerTable()
 
     def read(self, now):
         """Read the workers once and plan the next reading."""
@@ -36,7 +37,13 @@
             return
         self.pause = feeds.RETRY_PAUSE
         fleet.feed(self.state, events.StoreHeard(now))
-        fleet.feed(self.state, events.WorkersRead(now, fleet.entries))
+        self.table.note_heard(now)
+        rows = [(entry.worker_id, entry) for entry in fleet.entries]
+        self.table.apply(rows, True, now)
+        self.table.expire(now)
+        found = list(self.table.entries.values())
+        fleet.feed(self.state, events.WorkersRead(now, found))
+        fleet.note_read(self.state, found)
         fleet.plan(now + feeds.WORKERS_PERIOD + CALL_TIME, self.read)
 
 
@@ -91,6 +98,16 @@
         """Let no message reach a node any longer, nor leave it."""
         self._cut.add(self.states[name].own.ip)
 
+    def heal(self, name):
+        """Let messages reach a node again."""
+        self._cut.discard(self.states[name].own.ip)
+
+    def note_read(self, state, entries):
+        """Note what a node read in the store."""
+
+    def note_delivered(self, state, message):
+        """Note what a node hands to one of its requests."""
+
     def find_state(self, ip):
         """Return the node at an address."""
         return self._by_ip[ip]
@@ -122,8 +139,11 @@
         def take(now):
             age = other.read_store_age(now)
             if age is not None:
-                event = events.WorkersFetched(now, self.entries, age)
+                entries = list(other.roster.entries.values())
+                rows = other.roster.list_departed()
+                event = events.WorkersFetched(now, entries, age, {}, rows)
                 self.feed(state, event)
+                self.note_read(state, entries)
 
         self.plan(self.now + FETCH_TIME, take)
 
@@ -156,6 +176,11 @@
     fleet.deliver(state.own.ip, effect.ip, effect.message)
 
 
+@carry_out.register
+def _deliver(effect: effects.Deliver, fleet, state):
+    fleet.note_delivered(state, effect.message)
+
+
 @carry_out.register
 def _follow_store(effect: effects.FollowStore, fleet, state):
     fleet.set_reading(state, effect.active)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -136,7 +136,7 @@
     def lose_store(self):
         pass
 
-    def take_workers(self, found):
+    def take_workers(self, found, changed):
         pass
 
 
