--- a/bench/placing.py
+++ b/bench/placing.py
@@ -91,6 +91,21 @@
 ROUGH_DESK = Load(
     "rough desk", 78, 6, 300.0, 0.46, 0.8, 2.0, 6.0, 9.0, 5.0, 0.6, 0.75
 )
+ZONED_DESK = Load(
+    "zoned desk",
+    78,
+    6,
+    300.0,
+    0.46,
+    0.8,
+    2.0,
+    6.0,
+    9.0,
+    5.0,
+    0.3,
+    0.75,
+    zones=3,
+)
 # Half of the requests can be repeated, and their budget is used up.
 SHORT = Load(
     "short",
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bench import placing
+from tests import shared_desks
 
 WINDOW = 2.0  # seconds in which a sound worker is to get work
 FLOOR_SHARE = 0.7  # of the sound workers, which must get work
@@ -92,3 +93,20 @@
 def test_floor_is_held_at_each_moment_while_many_fail_at_once():
     shares = list_shares(placing.ROUGH_DESK, 2)
     assert min(shares.values()) >= FLOOR_SHARE
+
+
+@pytest.mark.parametrize("seed", [7, 8])
+def test_coordinators_hold_the_floor_together(seed):
+    """What they tell each other comes late, and some of it never."""
+    load = placing.ZONED_DESK
+    found = placing.Play(load, 1.0, seed)
+    desks = shared_desks.SharedDesks(load.zones, seed)
+    desks.take_entries([w.entry for w in found.desk.workers.values()], 0.0)
+    found.desk = desks
+    tally = found.run()
+    starts = [number / 4 for number in range(16, 4 * 38)]
+    shares = [found.measure_used(s, WINDOW, calm=0.0) for s in starts]
+    assert min(shares) >= FLOOR_SHARE
+    spells = placing.count_spells(found)
+    own = placing.OWN_ERRORS * tally.asked
+    assert tally.failed - own <= FEW_FAILURES * spells
