Take a worker that joined for one that got no work yet

Seen: nothing yet; found by reading what the floor counts. A worker that the store lists anew counted as given work at that moment, and while it warms up it costs more than any other, so that it got nothing for 3 s; it is sound from its start on. Where many join at once the floor can break. Change: such a worker is due at once, if the floor asks for it. A new desk, which does not know who had work, begins as before.

--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -7,6 +7,7 @@
 
 import bisect
 import enum
+import math
 
 from acaciafield.gateway import backends
 from acaciafield.gateway import budgets
@@ -143,13 +144,18 @@
     def take_entries(self, entries, now):
         """Replace the list of workers, keeping what is known of each."""
         seen = {entry.worker_id: entry for entry in entries}
+        joining = bool(self.workers)
         for worker_id in list(self.workers):
             if worker_id not in seen:
                 del self.workers[worker_id]
         for worker_id, entry in seen.items():
             worker = self.workers.get(worker_id)
             if worker is None:
-                self.workers[worker_id] = backends.Worker(entry, now)
+                worker = backends.Worker(entry, now)
+                # Of a new desk's workers it is not known who had work.
+                if joining:
+                    worker.granted_at = -math.inf
+                self.workers[worker_id] = worker
             elif entry.says_same(worker.entry):
                 worker.entry = entry
             else:
--- a/tests/test_gateway_floors.py
+++ b/tests/test_gateway_floors.py
@@ -142,3 +142,17 @@
     terms = support.TERMS
     state.take_terms(type(terms)(terms.ratio, terms.slack, 10.0, 0.2))
     assert state.desks["orders"].floor == 0.2
+
+
+def test_worker_that_joined_is_due_before_it_ever_got_work():
+    desk = support.make_desk(6, now=10.0, slots=6)
+    use_all(desk, 12.9)
+    names = ["w7", "w8", "w9", "w10"]
+    known = [worker.entry for worker in desk.workers.values()]
+    cold = [support.make_entry(n, slots=6, warm_up=3.0) for n in names]
+    desk.take_entries([*known, *cold], 13.0)
+    granted = [
+        decide(desk, "r%d:1" % n, 13.1, idempotent=False).worker_id
+        for n in range(6)
+    ]
+    assert len(set(granted) & set(names)) == 2
