Give no turn to a worker that is no longer listed

Seen: nothing yet; found by the last reading. The look at rested workers serves for 50 ms; a worker that left the list within them could still be granted, and the ask then failed with a KeyError while its grant was described for the log. Change: the look is made anew when a worker is no longer listed. Measured: the test failed before (a worker that left was granted); tests of floors and granting pass.

--- a/packages/coordination/acaciafield/gateway/floors.py
+++ b/packages/coordination/acaciafield/gateway/floors.py
@@ -73,8 +73,7 @@
     __slots__ = ("_usage", "_looked_at")
 
     def __init__(self):
-        self._usage = Usage(0, [])
-        self._looked_at = -math.inf
+        self.forget()
 
     def look(self, workers, latencies, now):
         """Bring the rested workers up to date, at most each period."""
@@ -82,6 +81,11 @@
             self._looked_at = now
             self._usage = measure_usage(workers, latencies, now, TURN)
 
+    def forget(self):
+        """Look anew at the next ask, as a worker is no longer listed."""
+        self._usage = Usage(0, [])
+        self._looked_at = -math.inf
+
     def choose_worker(self, ask, share, now):
         """Return the worker whose turn an ask must take, or None.
 
--- a/packages/coordination/acaciafield/gateway/granting.py
+++ b/packages/coordination/acaciafield/gateway/granting.py
@@ -148,6 +148,7 @@
         for worker_id in list(self.workers):
             if worker_id not in seen:
                 del self.workers[worker_id]
+                self.turns.forget()
         for worker_id, entry in seen.items():
             worker = self.workers.get(worker_id)
             if worker is None:
--- a/tests/test_gateway_floors.py
+++ b/tests/test_gateway_floors.py
@@ -156,3 +156,13 @@
         for n in range(6)
     ]
     assert len(set(granted) & set(names)) == 2
+
+
+def test_worker_that_is_no_longer_listed_takes_no_turn():
+    desk = support.make_desk(4, now=10.0, slots=6)
+    use_all(desk, 12.8, but=("w1", "w2"))
+    decide(desk, "r1:1", 13.0, avoid=["w1", "w2"])
+    left = [desk.workers[name].entry for name in ("w3", "w4")]
+    desk.take_entries(left, 13.01)
+    answer = decide(desk, "r2:1", 13.02)
+    assert answer.worker_id in ("w3", "w4")
