--- a/review/harness.py
+++ b/review/harness.py
@@ -200,6 +200,7 @@
         self.runs = []
         self.address = None
         self.state = "ready"
+        self.is_leaving = False
         self._born = int(time.time() * 1000)
         self._sequence = 0
 
@@ -292,6 +293,8 @@
             "Acaciafield-Instance-Id: %s" % self.worker_id,
             "Acaciafield-Instance-Load: %d,0,%d" % (self.running, self.slots),
         ]
+        if self.is_leaving:
+            lines.append("Server-Leaving: 1")
         if not_run:
             lines.append("Acaciafield-Not-Executed: 1")
         elif signed:
