--- a/review/harness.py
+++ b/review/harness.py
@@ -13,6 +13,7 @@
 import sys
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
@@ -20,6 +21,7 @@
 
 from standins import store as stores  # noqa: E402
 
+CANNOT_RUN = 2  # exit code
 START_TIMEOUT_S = 20.0
 GRACE_S = 6.0
 HOST = "shop.example"
@@ -483,3 +485,12 @@
             if gateway.process is not None and gateway.process.poll() is None:
                 gateway.process.kill()
                 gateway.process.wait()
+
+
+def run_case(run):
+    """Run a script's coroutine; return its exit code, 2 on any error."""
+    try:
+        return asyncio.run(run())
+    except Exception:
+        traceback.print_exc()
+        return CANNOT_RUN
