--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")" || exit 2
+export TROUBLE="${TROUBLE:-1}" # 0: without the disruption
 ../build.sh || exit 2
 PYTHONPATH=../../target/deps exec python3 case.py
