Review case 1: write faster, so that the script does not set the pace

With more clients in the script's own process the endless worker wrote too slowly to hold a node up in each run. It now writes at the pace of the project's own endless workers, and 48 clients take the place of 30.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 
 NODES = 3
 WORKERS = 7  # of each service; one of them is in trouble
-CLIENTS = 30
+CLIENTS = 48
 TIMEOUT_MS = {"prices": 4000, "orders": 5000}
 KINDS = {"prices": "safe", "orders": "unsafe"}
 WORK_S = 0.2
@@ -25,7 +25,7 @@
 PATIENCE_S = 3.0  # past the timeout, after which a client stops listening
 MIN_OVERDUE = 8
 INTERIM_HEADS = b"HTTP/1.1 100 Continue\r\n\r\n" * 2600  # about 64 KB
-WRITE_PAUSE_S = 0.02
+WRITE_PAUSE_S = 0.002
 
 
 class TroubledWorker(harness.Worker):
