--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,194 @@
+"""Tests of a planned stop of one node, for each way a request arrives."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from acaciafield_daemon.gateway import node as gateway_node
+from tests import test_gateway_node
+from tests import test_platform
+
+BODY = b"x" * 300
+BODY_DELAY_S = 0.02  # between a head and its body
+GRACE_S = 2.0
+HEADER_TIMEOUT_S = 1.0
+CLOSE_SLACK_S = 0.3
+CONFIGURATION = test_platform.CONFIGURATION | {
+    "limits": {
+        "maxBodyBytes": 1000,
+        "headerTimeoutMs": int(1000 * HEADER_TIMEOUT_S),
+    }
+}
+
+
+def run_steps(steps, grace=GRACE_S):
+    """Run steps against a node with two workers."""
+    test_gateway_node.run_steps(
+        steps, test_gateway_node.make_options(grace=grace), CONFIGURATION
+    )
+
+
+def make_head(method, path, host, size=None, chunked=False, deadline_ms=2000):
+    """Return the head of a request."""
+    lines = [
+        "%s %s HTTP/1.1" % (method, path),
+        "Host: " + host,
+        "Acaciafield-Request-Id: q1",
+        "Acaciafield-Deadline-Ms: %d" % deadline_ms,
+    ]
+    if size is not None:
+        lines.append("Content-Length: %d" % size)
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+async def read_answer(reader):
+    """Return the status and the headers of an answer with a short body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *lines = head.rstrip().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines)
+    await reader.readexactly(int(headers.get("content-length", "0")))
+    return int(first.split()[1]), headers
+
+
+async def send_nothing(reader, writer):
+    """Leave the connection as it was opened."""
+
+
+async def send_served(reader, writer):
+    """Get an answer to a request."""
+    writer.write(make_head("GET", "/b/x", "b.example"))
+    assert (await read_answer(reader))[0] == 200
+
+
+async def send_served_late_body(reader, writer):
+    """Get an answer to a request whose body comes after its head."""
+    writer.write(make_head("POST", "/a/x", "a.example", len(BODY)))
+    await asyncio.sleep(BODY_DELAY_S)
+    writer.write(BODY)
+    assert (await read_answer(reader))[0] == 200
+
+
+async def send_unrouted(reader, writer):
+    """Get a 404 to a request that is sent at once."""
+    head = make_head("POST", "/none/", "a.example", len(BODY))
+    writer.write(head + BODY)
+    assert (await read_answer(reader))[0] == 404
+
+
+async def send_unrouted_late_body(reader, writer):
+    """Get a 404 before the body is sent."""
+    writer.write(make_head("POST", "/none/", "a.example", len(BODY)))
+    await asyncio.sleep(BODY_DELAY_S)
+    writer.write(BODY)
+    assert (await read_answer(reader))[0] == 404
+
+
+async def send_unrouted_body_in_parts(reader, writer):
+    """Get a 404 while the body is sent in parts."""
+    writer.write(make_head("POST", "/none/", "a.example", len(BODY)))
+    for start in range(0, len(BODY), 100):
+        await asyncio.sleep(BODY_DELAY_S)
+        writer.write(BODY[start : start + 100])
+    assert (await read_answer(reader))[0] == 404
+
+
+async def send_unrouted_late_chunks(reader, writer):
+    """Get a 404 before the chunks of the body are sent."""
+    writer.write(make_head("POST", "/none/", "a.example", chunked=True))
+    await asyncio.sleep(BODY_DELAY_S)
+    writer.write(b"%x\r\n%s\r\n" % (len(BODY), BODY))
+    await asyncio.sleep(BODY_DELAY_S)
+    writer.write(b"0\r\n\r\n")
+    assert (await read_answer(reader))[0] == 404
+
+
+async def send_empty_lines(reader, writer):
+    """Send empty lines after an answer, as some clients do."""
+    await send_served(reader, writer)
+    writer.write(b"\r\n\r\n")
+
+
+async def send_pipelined(reader, writer):
+    """Send two requests at once, the second with a late body."""
+    head = make_head("POST", "/none/", "a.example", len(BODY))
+    writer.write(make_head("GET", "/b/x", "b.example") + head)
+    assert (await read_answer(reader))[0] == 200
+    assert (await read_answer(reader))[0] == 404
+    await asyncio.sleep(BODY_DELAY_S)
+    writer.write(BODY)
+
+
+IDLE_CASES = [
+    send_nothing,
+    send_served,
+    send_served_late_body,
+    send_unrouted,
+    send_unrouted_late_body,
+    send_unrouted_body_in_parts,
+    send_unrouted_late_chunks,
+    send_empty_lines,
+    send_pipelined,
+]
+
+
+@contextlib.asynccontextmanager
+async def connect(harness):
+    """Open a connection to the node."""
+    port = harness.node.options.caller_port
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("send", IDLE_CASES, ids=lambda send: send.__name__)
+def test_stop_closes_an_idle_connection_whatever_came_on_it(send):
+    # Guards against orders taken late on a connection that counted as one
+    # in the middle of a head, and broken off at the exit.
+    async def steps(harness):
+        async with connect(harness) as (reader, writer):
+            await send(reader, writer)
+            await asyncio.sleep(3 * BODY_DELAY_S)
+            began = asyncio.get_running_loop().time()
+            harness.node.stopping.set()
+            assert await reader.read() == b""
+            waited = asyncio.get_running_loop().time() - began
+            grace = harness.node.options.grace
+            delay = gateway_node.CLOSE_IDLE_SHARE * grace
+            assert delay - CLOSE_SLACK_S < waited < delay + CLOSE_SLACK_S
+
+    run_steps(steps)
+
+
+@pytest.mark.parametrize("send", IDLE_CASES, ids=lambda send: send.__name__)
+def test_kept_connection_is_not_closed_as_a_slow_head(send):
+    # Guards against requests that meet a close of a connection in use.
+    async def steps(harness):
+        async with connect(harness) as (reader, writer):
+            await send(reader, writer)
+            await asyncio.sleep(HEADER_TIMEOUT_S + 1.0)
+            writer.write(make_head("GET", "/b/x", "b.example"))
+            assert (await read_answer(reader))[0] == 200
+            assert harness.node._caller_server.slow_heads_closed == 0
+
+    run_steps(steps)
+
+
+@pytest.mark.parametrize("pause", [0.0, BODY_DELAY_S])
+@pytest.mark.parametrize("send", IDLE_CASES, ids=lambda send: send.__name__)
+def test_incomplete_head_is_closed_after_its_time_limit(send, pause):
+    async def steps(harness):
+        async with connect(harness) as (reader, writer):
+            await send(reader, writer)
+            await asyncio.sleep(pause)
+            writer.write(b"GET /b/x HTT")
+            began = asyncio.get_running_loop().time()
+            assert await reader.read() == b""
+            waited = asyncio.get_running_loop().time() - began
+            assert HEADER_TIMEOUT_S - 0.2 < waited < HEADER_TIMEOUT_S + 1.0
+
+    run_steps(steps)
