Bound what a worker may send outside of a body

Callers of a node got no answer for seconds while one worker sent interim heads without end; the node grew past its memory.

Cause: the HTTP client's flow control covers the body only. All bytes that a socket holds were parsed in one turn of the event loop (uvloop reads it up to 32 times), and each head was queued. Evidence: one such attempt stopped the loop for 2.05 s, with 327,680 heads queued and 179 MB.

Each phase of an answer now has a limit that is checked after each 16 KB: heads and their number, framing of chunks and trailers; bytes after an answer are dropped unread. The attempt's log line and a metric name the limit. An answer that breaks off the parser in its body fails at once.

The listener also gets a line back below 80 columns.

--- a/packages/daemon/acaciafield_daemon/gateway/listeners.py
+++ b/packages/daemon/acaciafield_daemon/gateway/listeners.py
@@ -74,8 +74,8 @@
     """Accepts the connections of callers.
 
     ``handler`` answers the requests; ``limits`` is the routes.Limits in
-    force, or None; ``slow_heads_closed`` counts the connections closed because their
-    request head took too long.
+    force, or None; ``slow_heads_closed`` counts the connections closed
+    because their request head took too long.
     """
 
     def __init__(self, handler):
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -338,6 +338,12 @@
             ending=result.ending.value,
             repeat=int(grant_request.retry_count > 0),
         )
+        if result.limit is not None:
+            self.metrics.count(
+                "aborted_answers",
+                service=call.service,
+                limit=result.limit.value,
+            )
         report = messages.AttemptReport(
             call.service,
             grant_request.attempt_id,
@@ -370,6 +376,7 @@
             load=result.load,
             leaving=result.leaving,
             pause=result.pause,
+            limit=result.limit.value if result.limit is not None else None,
         )
 
     async def _forward_answer(self, call, result, request):
--- a/packages/daemon/acaciafield_daemon/gateway/responses.py
+++ b/packages/daemon/acaciafield_daemon/gateway/responses.py
@@ -110,6 +110,7 @@
         try:
             chunk = await content.readany()
         except (aiohttp.ClientError, OSError) as error:
+            result.limit = upstream.find_limit(error)
             raise TruncatedAnswerError from error
         if not chunk:
             return
--- a/packages/daemon/acaciafield_daemon/gateway/upstream.py
+++ b/packages/daemon/acaciafield_daemon/gateway/upstream.py
@@ -11,13 +11,13 @@
 import socket
 
 import aiohttp
-from aiohttp import client_proto
 from aiohttp import hdrs
 import multidict
 import yarl
 
 from acaciafield import outcomes
 from acaciafield import structs
+from acaciafield_daemon.gateway import worker_connections
 
 Ending = outcomes.Ending
 
@@ -29,6 +29,7 @@
 READ_BUFFER_BYTES = 32768  # of one connection
 MAX_HEAD_LINE_BYTES = 65536  # of one line or field of a worker's answer
 TCP_USER_TIMEOUT_OPTION = getattr(socket, "TCP_USER_TIMEOUT", 18)
+MIN_FINAL_STATUS = 200
 SHED_STATUS = 503
 MISDIRECTED_STATUS = 421
 SECONDS_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -57,7 +58,7 @@
     the rest, or None. ``load`` is the worker's [running, waiting, slots],
     ``latency`` in seconds. ``leaving`` and ``pause`` are what the worker
     announced: that it shuts down, and for how many seconds it wants no
-    requests.
+    requests. ``limit`` is the AnswerLimit that the answer exceeded, or None.
     """
 
     __slots__ = (
@@ -71,6 +72,7 @@
         "latency",
         "leaving",
         "pause",
+        "limit",
     )
     DEFAULTS = {
         "status": 0,
@@ -82,6 +84,7 @@
         "latency": 0.0,
         "leaving": False,
         "pause": None,
+        "limit": None,
     }
 
     @property
@@ -96,17 +99,6 @@
     __slots__ = ("method", "target", "headers", "body", "request_id")
 
 
-class CheckedResponseHandler(client_proto.ResponseHandler):
-    """Marks a body without a length as truncated if a reset ends it."""
-
-    def connection_lost(self, exc):
-        """Fail the body first if the connection did not close cleanly."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("reset"))
-        super().connection_lost(exc)
-
-
 class WorkerClient:
     """Sends attempts to workers.
 
@@ -128,7 +120,8 @@
             limit=0, force_close=True, socket_factory=make_socket
         )
         connector._factory = functools.partial(
-            CheckedResponseHandler, loop=asyncio.get_running_loop()
+            worker_connections.WorkerConnection,
+            loop=asyncio.get_running_loop(),
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
@@ -175,8 +168,8 @@
             result = AttemptResult(Ending.UNREACHED)
         except aiohttp.ServerTimeoutError:
             result = AttemptResult(Ending.UNREACHED)
-        except (aiohttp.ClientError, OSError):
-            result = AttemptResult(Ending.RESET)
+        except (aiohttp.ClientError, OSError) as error:
+            result = AttemptResult(Ending.RESET, limit=find_limit(error))
         else:
             result = await self._receive_response(request, response)
         result.latency = self.clock() - started
@@ -206,8 +199,9 @@
         try:
             if ending in (Ending.ANSWERED, Ending.FAILED):
                 await self._read_body(response, result)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
             result.ending = Ending.GARBLED
+            result.limit = find_limit(error)
         except BaseException:
             self.release(result)
             raise
@@ -240,6 +234,8 @@
         headers = response.headers
         if self._read_request_id(request, response) != request.request_id:
             return Ending.GARBLED
+        if response.status < MIN_FINAL_STATUS:
+            return Ending.GARBLED
         if response.status == MISDIRECTED_STATUS:
             return Ending.MISDIRECTED
         if self.header_names.not_executed in headers:
@@ -291,6 +287,13 @@
     return sock
 
 
+def find_limit(error):
+    """Return the AnswerLimit behind an error, or None if it is another."""
+    if isinstance(error, worker_connections.AnswerLimitError):
+        return error.limit
+    return None
+
+
 def parse_load(text):
     """Return [running, waiting, slots] of a load header, or None.
 
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -17,6 +17,7 @@
     b"Acaciafield-Upstream-Signature: s\r\n%s\r\n"
 )
 DATA_CHUNK = b"%x\r\n%s\r\n" % (len(DATA), DATA)
+CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
 HUGE_LENGTH_HEADER = b"Content-Length: 1000000000000\r\n"
 REQUEST_ID_PATTERN = re.compile(
     rb"Acaciafield-Request-Id: (\S+)", re.IGNORECASE
@@ -26,13 +27,60 @@
     "rubbish": lambda request_id: (b"", DATA),
     "line": lambda request_id: (b"HTTP/1.1 200 OK\r\nX-Long: ", DATA),
     "fields": lambda request_id: (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 999),
+    "large fields": lambda request_id: (
+        b"HTTP/1.1 200 OK\r\n",
+        b"X-A: %s\r\n" % DATA[:60000],
+    ),
+    "empty lines": lambda request_id: (b"", b"\r\n" * 32768),
+    "interim heads": lambda request_id: (
+        b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 2600,
+    ),
+    "early hints": lambda request_id: (
+        b"",
+        b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" * 1500,
+    ),
+    "upgrade": lambda request_id: (
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+        b"Upgrade: x\r\n\r\n",
+        DATA,
+    ),
+    "answers": lambda request_id: (
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 1600,
+    ),
+    "refusals": lambda request_id: (
+        b"",
+        HEAD_TEMPLATE
+        % (
+            b"503 Full",
+            request_id,
+            b"Acaciafield-Not-Executed: 1\r\nContent-Length: 0\r\n",
+        )
+        * 400,
+    ),
+    "chunk size": lambda request_id: (
+        HEAD_TEMPLATE % (b"200 OK", request_id, CHUNKED_HEADER),
+        b"0" * 65536,
+    ),
+    "chunk extension": lambda request_id: (
+        HEAD_TEMPLATE % (b"200 OK", request_id, CHUNKED_HEADER) + b"5;a=",
+        DATA,
+    ),
+    "small chunks": lambda request_id: (
+        HEAD_TEMPLATE % (b"200 OK", request_id, CHUNKED_HEADER),
+        b"1\r\nx\r\n" * 10000,
+    ),
+    "trailers": lambda request_id: (
+        HEAD_TEMPLATE % (b"200 OK", request_id, CHUNKED_HEADER) + b"0\r\n",
+        b"X-A: b\r\n" * 8000,
+    ),
     "length": lambda request_id: (
         HEAD_TEMPLATE % (b"200 OK", request_id, HUGE_LENGTH_HEADER),
         DATA,
     ),
     "chunked": lambda request_id: (
-        HEAD_TEMPLATE
-        % (b"200 OK", request_id, b"Transfer-Encoding: chunked\r\n"),
+        HEAD_TEMPLATE % (b"200 OK", request_id, CHUNKED_HEADER),
         DATA_CHUNK,
     ),
     "unframed": lambda request_id: (
