Apply the records of a worker in the order of the log

A worker that left without draining got requests later than drainMs after its removal.

Cause: where one read of the store brought a worker's heartbeat and its removal, the removal was applied first and the heartbeat after it, so that the worker was listed again for good. Evidence: all orders of two to four records of a worker in all splits into reads, against reads of one record each; they differ wherever a removal meets an entry in one read.

Records now apply in their order, also after an outage, and a late copy of an entry that expired brings it back no more. The departure that the roster keeps and tells has the version of the last entry in the store, which may never have been in a list; a second departure of the same run is told as well.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -52,7 +52,7 @@
 @handlers.apply_event.register
 def _apply_workers(event: events.WorkersRead, state, now, out):
     state.store_read_at = now
-    state.roster.replace_entries(event.entries, now)
+    state.roster.replace_entries(event.entries, now, event.departures)
     _update_schedulers(state, now, out)
     heartbeats.announce_store(state, now, out)
 
--- a/packages/coordination/acaciafield/gateway/events.py
+++ b/packages/coordination/acaciafield/gateway/events.py
@@ -13,9 +13,14 @@
 
 
 class WorkersRead(structs.Struct):
-    """The store's list of workers was read, as backends.WorkerEntry."""
+    """The store's list of workers was read, as backends.WorkerEntry.
 
-    __slots__ = ("now", "entries")
+    ``departures`` has the workers that were removed from it since the last
+    read, as rows of rosters.Roster.list_departed.
+    """
+
+    __slots__ = ("now", "entries", "departures")
+    DEFAULTS = {"departures": ()}
 
 
 class WorkersFetched(structs.Struct):
--- a/packages/coordination/acaciafield/gateway/rosters.py
+++ b/packages/coordination/acaciafield/gateway/rosters.py
@@ -46,13 +46,16 @@
         """Record that changes of the store's list are missed from now on."""
         self._following = False
 
-    def replace_entries(self, entries, now):
+    def replace_entries(self, entries, now, departures=()):
         """Replace the workers by the store's list.
 
-        Workers missing from it have departed, unless this node missed
-        changes of the list.
+        ``departures`` has rows of the workers that were removed from the
+        list; their last entries may never have been in a list. Workers
+        missing from it have departed too, unless this node missed changes
+        of the list.
         """
         before = self.entries
+        self.apply_departures(departures, now)
         self._replace(entries, now)
         if self._following:
             for worker_id, entry in before.items():
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -291,15 +291,16 @@
         """Record that the store did not answer."""
         self._apply_event(events.StoreFailed)
 
-    def update_workers(self, found, changed):
-        """Replace the list of workers."""
+    def update_workers(self, found, departures, changed):
+        """Replace the list of workers; ``departures`` has rows of rosters."""
         if changed:
             self.log.write(
                 "workers",
                 listed=len(found),
                 draining=[w.worker_id for w in found if w.draining],
+                removed=departures,
             )
-        self._apply_event(events.WorkersRead, found)
+        self._apply_event(events.WorkersRead, found, departures)
 
     def update_configuration(self, raw):
         """Apply a configuration, given as bytes in the store's format.
--- a/packages/daemon/acaciafield_daemon/gateway/store_reader.py
+++ b/packages/daemon/acaciafield_daemon/gateway/store_reader.py
@@ -87,14 +87,23 @@
 
     ``absent`` maps a missing worker whose entry is retained to the time
     at which it is removed, ``removed`` a removed worker to its last version.
+    ``unreported`` has the departures since the last take_departures().
     """
 
-    __slots__ = ("entries", "absent", "removed", "answered_at", "settled_at")
+    __slots__ = (
+        "entries",
+        "absent",
+        "removed",
+        "unreported",
+        "answered_at",
+        "settled_at",
+    )
 
     def __init__(self):
         self.entries = {}
         self.absent = {}
         self.removed = {}
+        self.unreported = []
         self.answered_at = None
         self.settled_at = 0.0
 
@@ -108,30 +117,45 @@
         self.answered_at = now
 
     def apply(self, entries, is_snapshot, now):
-        """Apply (worker id, WorkerEntry or None) pairs.
+        """Apply (worker id, WorkerEntry or None) pairs in their order.
 
-        Return whether the list changed, apart from sequences.
+        One read may bring several records of a worker, such as a heartbeat
+        and then its removal. Return whether the list changed, apart from
+        sequences.
         """
         newest = dict(entries)
         missing_ids = [w for w, entry in newest.items() if entry is None]
         if is_snapshot:
             missing_ids += [w for w in self.entries if w not in newest]
-        missing_ids = [w for w in missing_ids if w in self.entries]
-        is_mass_expiry = len(missing_ids) > MASS_EXPIRY_SHARE * len(
-            self.entries
-        )
-        is_mass_expiry = is_mass_expiry and now < self.settled_at
+        retained_ids = self._select_retained(missing_ids, now)
         changed = False
+        for worker_id, entry in entries:
+            if entry is not None:
+                changed |= self._put_entry(worker_id, entry)
+            elif worker_id not in retained_ids:
+                changed |= self._remove_entry(worker_id)
         for worker_id in missing_ids:
-            if is_mass_expiry:
+            if worker_id in retained_ids:
                 self.absent.setdefault(worker_id, self.settled_at)
             else:
                 changed |= self._remove_entry(worker_id)
-        for worker_id, entry in entries:
-            if entry is not None:
-                changed |= self._put_entry(worker_id, entry)
         return changed
 
+    def _select_retained(self, missing_ids, now):
+        """Return the missing workers whose entries expired in an outage."""
+        known_ids = {w for w in missing_ids if w in self.entries}
+        is_mass_expiry = len(known_ids) > MASS_EXPIRY_SHARE * len(self.entries)
+        return known_ids if is_mass_expiry and now < self.settled_at else ()
+
+    def take_departures(self):
+        """Return rows of the workers removed since the last call.
+
+        A row has the worker id and the incarnation and sequence of the last
+        entry.
+        """
+        rows, self.unreported = self.unreported, []
+        return rows
+
     def remove_expired(self, now):
         """Remove entries not written again in time; return whether any."""
         expired_ids = [w for w, until in self.absent.items() if now >= until]
@@ -145,6 +169,9 @@
             return False
         if known is not None and entry.version < known.version:
             return False
+        if worker_id in self.absent and entry.version == known.version:
+            # A late copy of the entry that is missing.
+            return False
         self.absent.pop(worker_id, None)
         self.removed.pop(worker_id, None)
         self.entries[worker_id] = entry
@@ -158,6 +185,7 @@
         while len(self.removed) >= MAX_REMOVED_WORKERS:
             del self.removed[next(iter(self.removed))]
         self.removed[worker_id] = entry.version
+        self.unreported.append([worker_id, *entry.version])
         return True
 
 
@@ -261,7 +289,9 @@
             # shows which of two records of a worker is newer.
             if rows or changed or first:
                 listed = list(table.entries.values())
-                self.hooks.update_workers(listed, changed or first)
+                self.hooks.update_workers(
+                    listed, table.take_departures(), changed or first
+                )
                 first = False
             is_sole_member = self.hooks.is_sole_member()
             await asyncio.sleep(
--- a/tests/gateway_departure_simulation.py
+++ b/tests/gateway_departure_simulation.py
@@ -244,3 +244,46 @@
             now + REQUEST_TIMEOUT_S,
             lambda later: self._send(state, request, others, later),
         )
+
+
+class RemovalSimulation(DepartureSimulation):
+    """One simulation of workers that leave without draining.
+
+    Their entries are removed, at times right after a heartbeat, so that one
+    read of the store brings both.
+    """
+
+    def run(self):
+        """Run the simulation to its end."""
+        for entry in self.fleet.entries:
+            self.fleet.append_record(entry.worker_id, entry)
+        super().run()
+
+    def _write(self, worker_id, **fields):
+        if worker_id in self.left_at:
+            return None
+        for entry in self.fleet.entries:
+            if entry.worker_id == worker_id:
+                values = {n: getattr(entry, n) for n in entry.__slots__}
+                newer = type(entry)(**(values | fields))
+                self.fleet.append_record(worker_id, newer)
+                return entry
+
+    def _plan_departure(self):
+        worker_id = "w%d" % self.random.randint(1, WORKERS)
+        late = self.random.random() < 0.5
+
+        def leave(now):
+            if worker_id in self.left_at or self.fleet.down:
+                return
+            old = self._write(worker_id, sequence=self._count())
+            self.left_at[worker_id] = now
+            self.fleet.append_record(worker_id, None)
+            if late:
+                after = self.random.uniform(0.0, 0.5)
+                self.fleet.plan(
+                    now + after,
+                    lambda _: self.fleet.append_record(worker_id, old),
+                )
+
+        self.fleet.plan(self.random.uniform(12.0, 26.0), leave)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -23,6 +23,7 @@
         self.active = True
         self.pause = store_reader.RETRY_PAUSE_S
         self.table = store_reader.WorkerTable()
+        self.offset = None
 
     def read(self, now):
         """Read the workers once and schedule the next read."""
@@ -38,23 +39,33 @@
         self.pause = store_reader.RETRY_PAUSE_S
         fleet.feed(self.state, events.StoreAnswered(now))
         self.table.record_answer(now)
-        rows = [(entry.worker_id, entry) for entry in fleet.entries]
-        self.table.apply(rows, True, now)
+        rows, is_snapshot = self._read_records()
+        self.table.apply(rows, is_snapshot, now)
         self.table.remove_expired(now)
         found = list(self.table.entries.values())
-        fleet.feed(self.state, events.WorkersRead(now, found))
+        departures = self.table.take_departures()
+        fleet.feed(self.state, events.WorkersRead(now, found, departures))
         fleet.record_read(self.state, found)
         fleet.plan(
             now + store_reader.WORKER_READ_PERIOD_S + CALL_TIME_S, self.read
         )
 
+    def _read_records(self):
+        """Return the records since the last read, and if it is a snapshot."""
+        log, start = self.fleet.log, self.offset
+        self.offset = len(log)
+        if start is None or not log:
+            return [(e.worker_id, e) for e in self.fleet.entries], True
+        return log[start:], False
+
 
 class Fleet:
     """Nodes by name; ``calls`` counts the calls to the store.
 
     ``writes`` counts those that persist crashes; ``persisted`` has the
     time and the rows of persisted crashes by node. ``refused`` has the names
-    of the nodes that the store refuses.
+    of the nodes that the store refuses. Without records in ``log``, readers
+    get all ``entries`` at each read, and with some only the newer ones.
     """
 
     def __init__(self, zones, count):
@@ -65,6 +76,7 @@
         self.refused = set()
         self._cut = set()
         self.entries = [support.make_entry("w1")]
+        self.log = []
         self.states = {}
         self._by_ip = {}
         self._readers = {}
@@ -76,6 +88,12 @@
             zone = "z%d" % (number % zones)
             self._add(support.make_state(name, zone=zone))
 
+    def append_record(self, worker_id, entry):
+        """Append a worker's entry to the log, or its removal with None."""
+        self.log.append((worker_id, entry))
+        others = [e for e in self.entries if e.worker_id != worker_id]
+        self.entries = others + ([entry] if entry is not None else [])
+
     def _add(self, state):
         self.states[state.local_member.name] = state
         self._by_ip[state.local_member.ip] = state
--- a/tests/test_gateway_rosters.py
+++ b/tests/test_gateway_rosters.py
@@ -164,3 +164,48 @@
     assert simulation.grants_used > 200
     assert simulation.list_uses_of_known_departed() == []
     assert simulation.list_late_uses_of_connected(DRAIN_TIME_S) == []
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_node_uses_a_worker_that_was_removed(seed):
+    # Guards against a removed worker that is listed again by its last
+    # heartbeat, where one read of the store brings both.
+    simulation = gateway_departure_simulation.RemovalSimulation(seed)
+    simulation.run()
+    assert simulation.grants_used > 200
+    assert simulation.left_at
+    assert simulation.list_late_uses_of_connected(DRAIN_TIME_S) == []
+
+
+def test_departure_covers_an_entry_that_was_never_listed():
+    # Another coordinator may have listed the entry that this one read
+    # together with the removal.
+    state = support.make_state()
+    state.start(10.0)
+    feed(state, events.WorkersRead, 10.0, [READY, OTHER])
+    last = support.make_entry("w1", sequence=READY.sequence + 1)
+    rows = [["w1", *last.version]]
+    feed(state, events.WorkersRead, 10.6, [OTHER], rows)
+    assert state.roster.is_departed("w1", last.version)
+    assert rows == state.roster.list_recent_departures(10.7)
+    other = support.make_state("n2")
+    other.start(10.0)
+    feed(other, events.WorkersFetched, 10.6, [last, OTHER], 0.1)
+    assert is_used(other, "w1", 10.7)
+    departed = state.roster.list_departed()
+    feed(other, events.WorkersFetched, 10.8, [last, OTHER], 0.1, {}, departed)
+    assert not is_used(other, "w1", 10.9)
+
+
+def test_second_departure_of_a_run_is_reported_too():
+    # An entry that expired in an outage is written again by the same run.
+    state = support.make_state()
+    state.start(10.0)
+    feed(state, events.WorkersRead, 10.0, [READY, OTHER])
+    rows = [["w1", *READY.version]]
+    feed(state, events.WorkersRead, 10.6, [OTHER], rows)
+    back = support.make_entry("w1", sequence=9)
+    feed(state, events.WorkersRead, 20.0, [back, OTHER])
+    rows = [["w1", *back.version]]
+    feed(state, events.WorkersRead, 20.6, [OTHER], rows)
+    assert rows == state.roster.list_recent_departures(20.7)
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import collections
+import itertools
+
+import pytest
 
 from acaciafield_daemon.gateway import decision_log
 from acaciafield_daemon.gateway import store_reader
@@ -99,6 +102,81 @@
     assert not table.apply([("w1", older)], False, 1.1)
 
 
+RECORD_KINDS = ("beat", "late", "drain", "restart", "removal")
+
+
+def make_records(kinds):
+    """Return the records of w1, as (worker id, WorkerEntry or None)."""
+    records, incarnation, sequence = [], 1, 1
+    for kind in kinds:
+        if kind == "removal":
+            records.append(("w1", None))
+            continue
+        if kind == "restart":
+            incarnation, sequence = incarnation + 1, 0
+        sequence += kind != "late"
+        entry = support.make_entry(
+            "w1",
+            incarnation=incarnation,
+            sequence=sequence,
+            draining=kind == "drain",
+        )
+        records.append(("w1", entry))
+    return records
+
+
+def list_splits(records):
+    """Return all ways to split records into reads."""
+    for size in range(2 ** (len(records) - 1)):
+        reads = [[records[0]]]
+        for number, record in enumerate(records[1:]):
+            if size >> number & 1:
+                reads.append([record])
+            else:
+                reads[-1].append(record)
+        yield reads
+
+
+def read_all(reads, is_after_outage):
+    """Apply reads to a table; return w1's entry or its last departure.
+
+    After an outage, the entries of the other workers expire in the first
+    read, and its time limit passes after the last one.
+    """
+    table = make_table()
+    now = 10.0 if is_after_outage else 1.0
+    table.record_answer(now)
+    others = [("w2", None)] if is_after_outage else []
+    for read in reads:
+        table.apply(others + read, False, now)
+        others = []
+    table.remove_expired(now + store_reader.SETTLE_TIME_S)
+    departures = [row for row in table.take_departures() if row[0] == "w1"]
+    return table.entries.get("w1") or departures[-1:]
+
+
+@pytest.mark.parametrize("is_after_outage", [False, True])
+@pytest.mark.parametrize("count", [2, 3, 4])
+def test_reads_of_several_records_equal_reads_of_each(count, is_after_outage):
+    # Guards against a removed worker that is listed again by its last
+    # heartbeat, where one read of the store brings both.
+    for kinds in itertools.product(RECORD_KINDS, repeat=count):
+        records = make_records(kinds)
+        expected = read_all([[r] for r in records], is_after_outage)
+        if kinds[-1] == "removal":
+            assert isinstance(expected, list)
+        for reads in list_splits(records):
+            assert read_all(reads, is_after_outage) == expected, reads
+
+
+def test_snapshot_without_a_worker_removes_it_after_any_record():
+    for kinds in itertools.product(RECORD_KINDS, repeat=3):
+        table = make_table()
+        table.apply(make_records(kinds), False, 1.0)
+        table.apply([], True, 1.6)
+        assert "w1" not in table.entries, kinds
+
+
 class CountingStore:
     """A store that answers unless it is down and counts calls by stream."""
 
@@ -137,7 +215,7 @@
     def record_store_failure(self):
         pass
 
-    def update_workers(self, found, changed):
+    def update_workers(self, found, departures, changed):
         self.lists.append(found)
 
 
