Repeat a grant only while its worker is listed

A request for a grant that was sent again, as the first answer was lost, got the same worker although it had been removed since. The log line of that decision then failed with a KeyError, so that no answer went out and the caller's time ran on until the next coordinator was asked.

test_grant_sent_again_names_no_worker_that_was_removed failed before.

--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -273,7 +273,7 @@
         if (
             active is not None
             and not quarantined
-            and _is_still_valid(active, request)
+            and self._is_still_valid(active, request)
         ):
             return self._make_grant(request, active.worker)
         self._remove_in_flight(request.attempt_id)
@@ -291,6 +291,15 @@
             return self._grant(request, worker, now)
         return self._enqueue(request, sender, now)
 
+    def _is_still_valid(self, active, request):
+        """Return whether the grant of a request sent again still holds."""
+        worker, worker_id = active.worker, active.worker.entry.worker_id
+        if worker.entry.draining or worker_id in request.avoided_workers:
+            return False
+        if self.workers.get(worker_id) is not worker:
+            return False
+        return active.attempt_id in worker.in_flight
+
     def _is_suspect_in_flight(self, request, now):
         """Return whether a copy of a suspect request is in flight.
 
@@ -683,14 +692,3 @@
         for attempt_id, active in list(self.in_flight.items()):
             if now > active.expires + slack:
                 self._remove_in_flight(attempt_id)
-
-
-def _is_still_valid(active, request):
-    """Return whether the grant of a request that is sent again still holds."""
-    worker = active.worker
-    if (
-        worker.entry.draining
-        or worker.entry.worker_id in request.avoided_workers
-    ):
-        return False
-    return active.attempt_id in worker.in_flight
--- a/tests/test_gateway_scheduling.py
+++ b/tests/test_gateway_scheduling.py
@@ -6,6 +6,9 @@
 import pytest
 
 from acaciafield.gateway import budgets
+from acaciafield.gateway import coordination
+from acaciafield.gateway import effects
+from acaciafield.gateway import events
 from acaciafield.gateway import messages
 from acaciafield.gateway import scheduling
 from tests import gateway_support as support
@@ -577,3 +580,24 @@
 
 def test_request_that_crashes_its_workers_is_refused_among_others():
     assert count_quarantine_refusals(1.0, crashes=True) > 20
+
+
+def test_grant_sent_again_names_no_worker_that_was_removed():
+    # Guards against a request at a removed worker, where the first answer to
+    # the request for a grant was lost.
+    entries = [support.make_entry("w1"), support.make_entry("w2")]
+    state = support.make_state()
+    state.start(10.0)
+    coordination.reduce_event(state, events.WorkersRead(10.0, entries))
+    request = support.make_grant_request(idempotent=False)
+
+    def ask(now):
+        out = support.deliver_message(state, request, now, "10.0.0.3")
+        sent = [e.message for e in support.select_effects(out, effects.Send)]
+        return [m.worker_id for m in sent if isinstance(m, messages.Grant)]
+
+    (first,) = ask(10.1)
+    assert ask(10.2) == [first]
+    others = [e for e in entries if e.worker_id != first]
+    coordination.reduce_event(state, events.WorkersRead(10.3, others))
+    assert ask(10.4) == [others[0].worker_id]
