Refuse requests that might outlast a stopping node

Reported by another operator and shown here: requests that were completed late in a stop were sent to workers and cut at the exit, orders among them.

Cause: nothing compared a request's time with that of the node. Ruled out: idle connections, which close before; the connections in question were in the middle of a head or a body.

In the second half of the grace a request goes to a worker only if its time ends before the exit; others get 503 at once. At the exit, requests that no worker has get 503 and those at a worker 502.

--- a/packages/daemon/acaciafield_daemon/gateway/listeners.py
+++ b/packages/daemon/acaciafield_daemon/gateway/listeners.py
@@ -104,6 +104,12 @@
         request.protocol.content = request.content
         return await self.handler(request)
 
+    def abort_connections(self):
+        """Reset all connections, so that no answer looks complete."""
+        for handler in list(self.connections):
+            if handler.transport is not None:
+                handler.transport.abort()
+
     async def close_slow_connections(self):
         """Close connections whose request head takes too long, in a loop."""
         while True:
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -16,6 +16,7 @@
 from acaciafield.gateway import events
 from acaciafield.gateway import members
 from acaciafield.gateway import node_state
+from acaciafield.gateway import planned_stop
 from acaciafield_daemon.gateway import decision_log
 from acaciafield_daemon.gateway import grant_requests
 from acaciafield_daemon.gateway import listeners
@@ -33,9 +34,8 @@
 CONFIG_WAIT_S = 1.5  # for a coordinator to announce a configuration
 MAX_START_PAUSE_S = 2.0  # the pause doubles up to this value
 MAX_WRITE_PAUSE_S = 8.0  # the same once a coordinator answers
-CLOSE_IDLE_SHARE = 0.4  # of the grace time before idle connections close
-EXIT_SLACK_S = 0.4  # between the exit and the end of the grace time
 STOP_PAUSE_S = 0.05
+LAST_ANSWER_TIME_S = 0.15  # for the answers of requests that the exit ends
 MAX_LOGGED_FINDINGS = 20  # of one configuration
 MAX_FETCHES = 3  # concurrent fetches of documents from other nodes
 
@@ -114,16 +114,14 @@
             await stack.enter_async_context(self.peers.open())
             await self._listen()
             self._flush_log()
-            tasks = [
-                asyncio.ensure_future(self._join_fleet()),
-                asyncio.ensure_future(
-                    self._caller_server.close_slow_connections()
-                ),
-            ]
+            join = asyncio.ensure_future(self._join_fleet())
+            sweep = asyncio.ensure_future(
+                self._caller_server.close_slow_connections()
+            )
             await self.stopping.wait()
-            for task in tasks:
-                task.cancel()
+            join.cancel()
             await self._stop()
+            sweep.cancel()
         self.log.write("stop", active=self.request_server.active)
         self.log.flush()
 
@@ -485,26 +483,27 @@
         self.log.write("reload", terms=repr(found.terms), grace=found.grace)
 
     async def _stop(self):
-        began = self.clock()
-        self.request_server.leaving = True
+        stop = planned_stop.plan_stop(self.clock(), self.options.grace)
+        self.request_server.stop = stop
         self.log.write("stop", active=self.request_server.active, began=True)
         self._apply_event(events.StopRequested)
-        close_delay = CLOSE_IDLE_SHARE * self.options.grace
-        await asyncio.sleep(close_delay)
+        await asyncio.sleep(stop.close_at - self.clock())
         for listener in self._listeners:
             listener.close()
-        deadline = began + self.options.grace - EXIT_SLACK_S
-        await self._close_connections(deadline)
+        await self._close_connections(stop.exit_at)
+        self.request_server.abort_calls()
+        await self._close_connections(stop.exit_at + LAST_ANSWER_TIME_S)
+        self._caller_server.abort_connections()
         await asyncio.sleep(STOP_PAUSE_S)
         self.store_reader.set_active(False)
 
-    async def _close_connections(self, deadline):
+    async def _close_connections(self, until):
         """Close each connection as soon as it is idle.
 
         The listener may still accept a connection while it closes, so the
         loop checks for new ones until none is left.
         """
-        while self._caller_server.connections and self.clock() < deadline:
+        while self._caller_server.connections and self.clock() < until:
             for handler in self._caller_server.connections:
                 if handler.is_idle():
                     handler.force_close()
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -23,6 +23,8 @@
 BODY_MEMORY_SHARE = 0.4  # of the host's memory
 MIN_GRANT_WAIT_S = 0.3
 UNREADY_RETRY_AFTER_S = 1.0
+STOPPING_REASON = "stopping"
+STOPPING_RETRY_AFTER_S = 0.05  # other nodes can serve the request at once
 OVERLOAD_RETRY_AFTER_S = 0.3  # where no coordinator gave a time
 
 
@@ -39,7 +41,8 @@
     of the caller or the route ends, ``caller_deadline`` that of the
     caller alone. ``sent_at`` is the time at which the last attempt was
     sent, ``hedge_after`` the seconds from then to a hedge, or None.
-    ``attempt_sent`` is set when an attempt goes to a worker.
+    ``changed`` is set when an attempt goes to a worker and when the call
+    is aborted, as ``is_aborted`` then says.
     ``ended_attempts`` lists the GrantRequest, Grant and
     upstream.AttemptResult of each attempt that ended.
     """
@@ -57,7 +60,8 @@
         "attempt_count",
         "hedge_after",
         "sent_at",
-        "attempt_sent",
+        "changed",
+        "is_aborted",
         "ended_attempts",
     )
 
@@ -76,14 +80,25 @@
         self.attempt_count = 0
         self.hedge_after = None
         self.sent_at = None
-        self.attempt_sent = asyncio.Event()
+        self.changed = asyncio.Event()
+        self.is_aborted = False
         self.ended_attempts = []
 
+    def abort(self):
+        """End the call without waiting for its attempts."""
+        self.is_aborted = True
+        self.changed.set()
+
+    def is_at_worker(self):
+        """Return whether an attempt was sent and has not ended."""
+        return len(self.tried_workers) > len(self.ended_attempts)
+
 
 class RequestServer:
     """Serves callers on one node.
 
-    ``active`` counts the requests in progress.
+    ``active`` counts the requests in progress; ``calls`` has those that were
+    read whole. ``stop`` is the planned_stop.PlannedStop, or None.
     """
 
     __slots__ = (
@@ -94,8 +109,9 @@
         "worker_client",
         "grant_requester",
         "configuration",
-        "leaving",
+        "stop",
         "active",
+        "calls",
         "body_reader",
     )
 
@@ -109,8 +125,9 @@
         self.worker_client = worker_client
         self.grant_requester = grant_requester
         self.configuration = None
-        self.leaving = False
+        self.stop = None
         self.active = 0
+        self.calls = set()
         max_body_bytes = int(BODY_MEMORY_SHARE * options.memory_bytes)
         self.body_reader = bodies.BodyReader(max_body_bytes, clock)
 
@@ -129,10 +146,25 @@
             raise
         finally:
             self.active -= 1
-        if self.leaving:
+        if self.stop is not None:
             response.force_close()
         return response
 
+    def abort_calls(self):
+        """Answer all requests in progress now, as the node exits."""
+        for call in self.calls:
+            call.abort()
+
+    def _may_send(self, caller_deadline):
+        """Return whether a request may go to a worker despite a stop.
+
+        Its answer may take until ``caller_deadline``, a time of the clock.
+        """
+        if self.stop is None:
+            return True
+        deadline = caller_deadline + LATE_ANSWER_SLACK_S
+        return self.stop.may_send(self.clock(), deadline)
+
     async def _handle_request(self, request, started):
         header_names = self.options.headers
         request_id = request.headers.get(header_names.request_id, "")
@@ -158,6 +190,10 @@
         time_left = parse_timeout(
             request.headers.get(header_names.deadline_ms)
         )
+        if not self._may_send(started + time_left):
+            return self._refuse_request(
+                request_id, STOPPING_REASON, STOPPING_RETRY_AFTER_S
+            )
         deadline = started + min(time_left, route.timeout)
         body = await self.body_reader.read(
             request, configuration.limits, deadline
@@ -193,11 +229,14 @@
     async def _serve_call(self, call, request):
         running = set()
         last_failure = None
+        self.calls.add(call)
         try:
             self._start_attempt(call, running)
             while running:
                 done = await self._wait_for_attempts(call, running)
                 if not done:
+                    if call.is_aborted:
+                        return self._answer_abort(call, last_failure)
                     if self.clock() >= call.deadline:
                         return self._answer_timeout(call, last_failure)
                     call.hedge_after = None
@@ -214,6 +253,7 @@
                     last_failure = choose_failure(last_failure, result)
             return self._answer_failure(call, last_failure)
         finally:
+            self.calls.discard(call)
             for task in running:
                 task.cancel()
             for grant_request, grant, result in call.ended_attempts:
@@ -224,24 +264,25 @@
     async def _wait_for_attempts(self, call, running):
         """Wait until an attempt ends, a hedge is due or the deadline passes.
 
-        Return the attempts that ended.
+        Return the attempts that ended; none if the call is aborted.
         """
-        while True:
-            call.attempt_sent.clear()
+        while not call.is_aborted:
+            call.changed.clear()
             until = call.deadline + LATE_ANSWER_SLACK_S
             if self._may_hedge(call, running):
                 until = min(until, call.sent_at + call.hedge_after)
-            attempt_sent = asyncio.ensure_future(call.attempt_sent.wait())
+            changed = asyncio.ensure_future(call.changed.wait())
             try:
                 done, _ = await asyncio.wait(
-                    [*running, attempt_sent],
+                    [*running, changed],
                     timeout=max(0.0, until - self.clock()),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
             finally:
-                attempt_sent.cancel()
-            if done != {attempt_sent}:
-                return done - {attempt_sent}
+                changed.cancel()
+            if done != {changed}:
+                return done - {changed}
+        return set()
 
     def _may_hedge(self, call, running):
         if call.hedge_after is None or not call.route.idempotent:
@@ -270,6 +311,8 @@
         return None
 
     async def _run_attempt(self, call, number):
+        if not self._may_send(call.caller_deadline):
+            return self._refuse_to_send(call, number)
         grant_request = self._make_grant_request(call, number)
         max_wait = max(MIN_GRANT_WAIT_S, GRANT_WAIT_SHARE * call.route.target)
         give_up_at = min(call.deadline, self.clock() + max_wait)
@@ -290,8 +333,23 @@
                 retry_after=retry_after,
             )
             return NoGrant(reason, retry_after)
+        if not self._may_send(call.caller_deadline):
+            self.grant_requester.withdraw_request(grant_request)
+            return self._refuse_to_send(call, number)
         return await self._send_attempt(call, grant_request, answer)
 
+    def _refuse_to_send(self, call, number):
+        """Return the NoGrant of an attempt that might outlast the node."""
+        self.log.write(
+            "refused",
+            request=call.outgoing.request_id,
+            service=call.service,
+            attempt=number,
+            reason=STOPPING_REASON,
+            retry_after=STOPPING_RETRY_AFTER_S,
+        )
+        return NoGrant(STOPPING_REASON, STOPPING_RETRY_AFTER_S)
+
     def _make_grant_request(self, call, number):
         route = call.route
         return messages.GrantRequest(
@@ -314,7 +372,7 @@
         call.tried_workers.append(grant.worker_id)
         call.sent_at = self.clock()
         call.hedge_after = grant.hedge_after
-        call.attempt_sent.set()
+        call.changed.set()
         result = upstream.AttemptResult(Ending.CANCELLED)
         started = self.clock()
         try:
@@ -396,6 +454,15 @@
             504, call.outgoing.request_id, self.options.headers
         )
 
+    def _answer_abort(self, call, last_failure):
+        """Answer a request that the exit of the node ends."""
+        if not call.is_at_worker():
+            return self._answer_failure(call, last_failure)
+        self._record_end(call, "unknown", 502)
+        return responses.make_error_response(
+            502, call.outgoing.request_id, self.options.headers
+        )
+
     def _answer_failure(self, call, last_failure):
         header_names = self.options.headers
         request_id = call.outgoing.request_id
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -14,6 +14,7 @@
 import expression
 import uvloop
 
+from acaciafield.gateway import planned_stop
 from acaciafield_daemon.gateway import node as gateway_node
 from acaciafield_daemon.gateway import options as gateway_options
 from acaciafield_platform import settings
@@ -424,14 +425,14 @@
     async def steps(harness):
         port = harness.node.options.caller_port
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        while not harness.node.request_server.leaving:
+        while harness.node.request_server.stop is None:
             harness.node.stopping.set()
             await asyncio.sleep(0.01)
         began = asyncio.get_running_loop().time()
         assert await reader.read() == b""
         ended = asyncio.get_running_loop().time()
         grace = harness.node.options.grace
-        assert ended - began < (gateway_node.CLOSE_IDLE_SHARE + 0.2) * grace
+        assert ended - began < (planned_stop.CLOSE_IDLE_SHARE + 0.2) * grace
         writer.close()
 
     run_steps(steps)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from acaciafield_daemon.gateway import node as gateway_node
+from acaciafield.gateway import planned_stop
 from tests import test_gateway_node
 from tests import test_platform
 
@@ -158,7 +158,7 @@
             assert await reader.read() == b""
             waited = asyncio.get_running_loop().time() - began
             grace = harness.node.options.grace
-            delay = gateway_node.CLOSE_IDLE_SHARE * grace
+            delay = planned_stop.CLOSE_IDLE_SHARE * grace
             assert delay - CLOSE_SLACK_S < waited < delay + CLOSE_SLACK_S
 
     run_steps(steps)
@@ -192,3 +192,193 @@
             assert HEADER_TIMEOUT_S - 0.2 < waited < HEADER_TIMEOUT_S + 1.0
 
     run_steps(steps)
+
+
+LONG_GRACE_S = 3.0
+LATE_AT_S = 0.6 * LONG_GRACE_S  # after the time until which requests are sent
+EARLY_AT_S = 0.3 * LONG_GRACE_S  # before idle connections close
+LAST_END_S = 0.8 * LONG_GRACE_S  # before the exit
+LONG_DEADLINE_MS = 8000
+
+
+def make_late_head(deadline_ms):
+    """Return the parts of a request whose head is completed late."""
+    head = make_head("GET", "/b/x", "b.example", deadline_ms=deadline_ms)
+    return head[:40], head[40:]
+
+
+def make_late_body(deadline_ms):
+    """Return the parts of a request whose body is completed late."""
+    head = make_head(
+        "POST", "/a/x", "a.example", len(BODY), deadline_ms=deadline_ms
+    )
+    return head + BODY[:100], BODY[100:]
+
+
+def make_late_chunks(deadline_ms):
+    """Return the parts of a request whose last chunk comes late."""
+    head = make_head(
+        "POST", "/a/x", "a.example", chunked=True, deadline_ms=deadline_ms
+    )
+    chunk = b"%x\r\n%s\r\n" % (len(BODY), BODY)
+    return head + chunk, b"0\r\n\r\n"
+
+
+def make_late_body_after_refusal(deadline_ms):
+    """Return a refused request, and its body with the next request late."""
+    refused = make_head("POST", "/none/", "a.example", len(BODY))
+    head = make_head("GET", "/b/x", "b.example", deadline_ms=deadline_ms)
+    return refused, BODY + head
+
+
+LATE_CASES = [make_late_head, make_late_body, make_late_chunks]
+
+
+async def send_late(harness, make_parts, deadline_ms):
+    """Complete a request late in a stop; return its status, or None."""
+    first, rest = make_parts(deadline_ms)
+    async with connect(harness) as (reader, writer):
+        await send_nothing(reader, writer)
+        harness.node.stopping.set()
+        await asyncio.sleep(EARLY_AT_S)
+        writer.write(first)
+        await asyncio.sleep(LATE_AT_S - EARLY_AT_S)
+        writer.write(rest)
+        try:
+            status, headers = await read_answer(reader)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        assert headers["connection"] == "close"
+        assert status != 503 or "retry-after" in headers
+        assert await reader.read() == b""
+        return status
+
+
+@pytest.mark.parametrize("make_parts", LATE_CASES)
+def test_request_that_might_outlast_a_stopping_node_is_refused(make_parts):
+    # Guards against requests that are taken late in the grace time and
+    # broken off at its end.
+    async def steps(harness):
+        for worker in harness.workers:
+            worker.delay = 30.0
+        status = await send_late(harness, make_parts, LONG_DEADLINE_MS)
+        assert status == 503
+        assert harness.seen == []
+
+    run_steps(steps, LONG_GRACE_S)
+
+
+@pytest.mark.parametrize("make_parts", LATE_CASES)
+def test_request_that_ends_before_the_exit_is_served(make_parts):
+    async def steps(harness):
+        for worker in harness.workers:
+            worker.delay = 0.1
+        # The time of a request runs from its head on.
+        is_late = make_parts is make_late_head
+        started = LATE_AT_S if is_late else EARLY_AT_S
+        deadline_ms = int(1000 * (LAST_END_S - started))
+        assert await send_late(harness, make_parts, deadline_ms) == 200
+
+    run_steps(steps, LONG_GRACE_S)
+
+
+def test_request_behind_a_late_body_of_a_refused_one_is_not_sent():
+    async def steps(harness):
+        # The node closes the connection after its answer.
+        status = await send_late(
+            harness, make_late_body_after_refusal, LONG_DEADLINE_MS
+        )
+        assert status in (None, 404)
+        assert harness.seen == []
+
+    run_steps(steps, LONG_GRACE_S)
+
+
+def test_request_behind_another_one_is_not_sent_in_a_stop():
+    async def steps(harness):
+        for worker in harness.workers:
+            worker.delay = 0.5 * LONG_GRACE_S
+        async with connect(harness) as (reader, writer):
+            head = make_head("POST", "/a/x", "a.example", 0)
+            writer.write(head + head.replace(b"q1", b"q2"))
+            while not harness.seen:
+                await asyncio.sleep(0.01)
+            harness.node.stopping.set()
+            assert (await read_answer(reader))[0] == 200
+            assert await reader.read() == b""
+        assert harness.seen == ["q1"]
+
+    run_steps(steps, LONG_GRACE_S)
+
+
+def test_exit_answers_a_request_at_a_worker():
+    async def steps(harness):
+        for worker in harness.workers:
+            worker.delay = 30.0
+        async with connect(harness) as (reader, writer):
+            writer.write(
+                make_head(
+                    "POST", "/a/x", "a.example", 0, False, LONG_DEADLINE_MS
+                )
+            )
+            while not harness.seen:
+                await asyncio.sleep(0.01)
+            began = asyncio.get_running_loop().time()
+            harness.node.stopping.set()
+            while harness.node.request_server.stop is None:
+                await asyncio.sleep(0.0)
+            # A change of the settings does not move the end of the stop.
+            harness.node.options.grace = 9.0
+            assert (await read_answer(reader))[0] == 502
+            assert await reader.read() == b""
+            waited = asyncio.get_running_loop().time() - began
+            exit_after = LONG_GRACE_S - planned_stop.EXIT_SLACK_S
+            assert exit_after - 0.1 < waited < LONG_GRACE_S
+
+    run_steps(steps, LONG_GRACE_S)
+
+
+def test_exit_refuses_a_request_that_no_worker_has():
+    async def steps(harness):
+        async def wait_forever(request, give_up_at):
+            await asyncio.sleep(30.0)
+
+        requester = harness.node.request_server.grant_requester
+        requester.__class__ = type(
+            "WaitingRequester",
+            (type(requester),),
+            {"__slots__": (), "request_grant": staticmethod(wait_forever)},
+        )
+        async with connect(harness) as (reader, writer):
+            writer.write(
+                make_head(
+                    "POST", "/a/x", "a.example", 0, False, LONG_DEADLINE_MS
+                )
+            )
+            await asyncio.sleep(0.1)
+            harness.node.stopping.set()
+            assert (await read_answer(reader))[0] == 503
+
+    run_steps(steps, LONG_GRACE_S)
+
+
+def test_order_that_a_worker_sheds_late_in_a_stop_is_not_sent_again():
+    async def steps(harness):
+        for worker in harness.workers:
+            worker.statuses = [503]
+            worker.delay = LATE_AT_S
+        async with connect(harness) as (reader, writer):
+            writer.write(
+                make_head(
+                    "POST", "/a/x", "a.example", 0, False, LONG_DEADLINE_MS
+                )
+            )
+            while not harness.seen:
+                await asyncio.sleep(0.01)
+            harness.node.stopping.set()
+            status, headers = await read_answer(reader)
+            assert status == 503
+            assert "retry-after" in headers
+        assert len(harness.seen) == 1
+
+    run_steps(steps, LONG_GRACE_S)
