Soak: kept connections with late bodies, removed workers, endless heads

Callers now use a connection until its node closes it and get refusals before they send a body; workers leave without draining right after a heartbeat; workers send interim heads without end.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -23,6 +23,15 @@
 from standins import store
 
 CALLER_COUNT = 24
+KEPT_CALLER_COUNT = 8
+KEPT_PAUSE_S = 1.0  # at most, between two requests on a kept connection
+REFUSED_SHARE = 0.3  # of the requests on kept connections
+BODY_DELAY_S = 0.01  # between a head and its body
+ORDER_BODY = b"x" * 300
+ORDER_HEAD = (
+    "POST /%s HTTP/1.1\r\nHost: %s\r\nAcaciafield-Request-Id: %s\r\n"
+    "Acaciafield-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n"
+)
 REQUEST_PAUSE_S = 0.05  # between two requests of a caller
 ADDRESS_VALIDITY_S = 2.0  # a caller caches addresses for this long
 REQUEST_SHARES = {"orders": 0.5, "uploads": 0.1, "reads": 0.4}
@@ -134,6 +143,71 @@
         """Discard the result, as nothing is guaranteed to this caller."""
 
 
+class KeptConnectionCaller(Caller):
+    """A caller that uses a connection until its node closes it.
+
+    Some of its requests are refused before it sends their bodies.
+    """
+
+    def __init__(self, soak, number):
+        super().__init__(soak, number)
+        self.address = None
+        self.streams = None
+
+    async def run(self):
+        """Send requests until cancelled."""
+        while True:
+            await asyncio.sleep(self.random.uniform(0.0, KEPT_PAUSE_S))
+            is_refused = self.random.random() < REFUSED_SHARE
+            path = "none" if is_refused else "orders/x"
+            try:
+                async with asyncio.timeout(soak_record.DEADLINE_S + 0.5):
+                    await self._send_order(path)
+            except (OSError, EOFError, ValueError, TimeoutError):
+                self.streams = None
+
+    async def _send_order(self, path):
+        if self.streams is None:
+            node = self.random.choice(self.soak.fleet.nodes)
+            self.address = node.find_address("front")
+            host, port = self.address.split(":")
+            self.streams = await asyncio.open_connection(host, int(port))
+        reader, writer = self.streams
+        self.count += 1
+        request_id = "c%d-%d" % (self.number, self.count)
+        head = ORDER_HEAD % (
+            path,
+            soak_fleet.HOSTNAME,
+            request_id,
+            int(soak_record.DEADLINE_S * 1000),
+            len(ORDER_BODY),
+        )
+        sent = soak_record.SentRequest(
+            request_id, True, self.address, self.soak.clock(), 0.0, 0, False
+        )
+        try:
+            writer.write(head.encode())
+            await asyncio.sleep(BODY_DELAY_S)
+            writer.write(ORDER_BODY)
+            await self._read_answer(reader, sent)
+        finally:
+            sent.ended_at = self.soak.clock()
+            self._record_result(sent)
+
+    async def _read_answer(self, reader, sent):
+        """Read an answer; raise OSError, EOFError or ValueError if cut."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        first, *lines = head.rstrip().lower().split("\r\n")
+        headers = dict(line.split(": ", 1) for line in lines)
+        length = int(headers.get("content-length", "0"))
+        content = await reader.readexactly(length)
+        expected = soak_fleet.make_answer(sent.request_id)
+        sent.is_expected = content == expected
+        sent.status = int(first.split()[1])
+        if headers.get("connection") == "close":
+            self.streams = None
+
+
 class Soak:
     """One soak test: a fleet, its store, workers, callers and faults."""
 
@@ -163,6 +237,12 @@
                 asyncio.ensure_future(Caller(self, number).run())
                 for number in range(CALLER_COUNT)
             ]
+            callers += [
+                asyncio.ensure_future(
+                    KeptConnectionCaller(self, CALLER_COUNT + 1 + n).run()
+                )
+                for n in range(KEPT_CALLER_COUNT)
+            ]
             crashing_caller = CrashingCaller(self, CALLER_COUNT)
             callers.append(asyncio.ensure_future(crashing_caller.run()))
             watch_task = asyncio.ensure_future(self._watch_versions())
@@ -319,6 +399,10 @@
     await soak.fleet.replace_worker()
 
 
+async def _remove_worker(soak):
+    await soak.fleet.remove_worker()
+
+
 FAULTS = {
     "kill": _kill_node,
     "stop": _stop_node,
@@ -330,8 +414,9 @@
     "publish": _publish,
     "spoil": _inject_worker_fault,
     "replace": _replace_worker,
+    "remove": _remove_worker,
 }
-NON_DISRUPTIVE_FAULTS = ("reload", "publish", "spoil", "replace")
+NON_DISRUPTIVE_FAULTS = ("reload", "publish", "spoil", "replace", "remove")
 
 
 def run_soak(seed, seconds, count):
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -35,12 +35,14 @@
     "hang",
     "extra",
     "endless",
+    "heads",
     *SHEDDING_FAULTS,
 )
 REQUESTED_PAUSE_S = 2.5  # that a worker requests with Retry-After
 CRASH_PATH = "/crash"  # in the path of a request that crashes its worker
 RESTART_DELAY_S = 2.0  # of a crashed worker
 ENDLESS_CHUNK = b"x" * 65536
+INTERIM_HEADS = b"HTTP/1.1 100 Continue\r\n\r\n" * 2600
 PORT_OFFSETS = {"front": 0, "readiness": 1, "directory": 2, "control": 3}
 FIRST_PORT = 21000  # each node has an IP address of its own
 PORTS_PER_NODE = 8
@@ -272,6 +274,8 @@
         headers["Acaciafield-Upstream-Signature"] = "s"
         if self.fault == "endless":
             return await _send_endless(request, headers)
+        if self.fault == "heads":
+            await _send_heads(request)
         if self.fault == "errors":
             return web.Response(status=500, headers=headers, body=body)
         await asyncio.sleep(WORK_TIME_S)
@@ -305,7 +309,7 @@
         self.is_down = False
         self.incarnation += 1
         await self.open()
-        if not self.is_leaving:
+        if not self.is_leaving and self in self.soak.fleet.workers:
             self.write_entry()
 
 
@@ -319,6 +323,13 @@
     return answer
 
 
+async def _send_heads(request):
+    """Send interim heads until the caller closes the connection."""
+    while request.transport is not None:
+        request.transport.write(INTERIM_HEADS)
+        await asyncio.sleep(0.002)
+
+
 class Fleet:
     """The nodes and workers of a soak test."""
 
@@ -385,11 +396,30 @@
 
     async def replace_worker(self):
         """Add a worker to a service, then drain and remove another one."""
-        worker = self.pick_worker()
-        self.workers.remove(worker)
-        await self._add_worker(worker.service)
+        worker = await self._exchange_worker()
         worker.write_entry("draining")
         self.soak.record.drained_at[worker.worker_id] = self.soak.clock()
         await asyncio.sleep(LEAVE_TIME_S)
         worker.write_entry("gone")
         await worker.close()
+
+    async def remove_worker(self):
+        """Add a worker to a service, then remove another one undrained.
+
+        A heartbeat precedes the removal. The worker serves on and does not
+        say that it leaves.
+        """
+        worker = await self._exchange_worker()
+        worker.write_entry()
+        worker.write_entry("gone")
+        worker.is_leaving = False
+        self.soak.record.drained_at[worker.worker_id] = self.soak.clock()
+        await asyncio.sleep(LEAVE_TIME_S)
+        await worker.close()
+
+    async def _exchange_worker(self):
+        """Add a worker and return another one of its service to remove."""
+        worker = self.pick_worker()
+        self.workers.remove(worker)
+        await self._add_worker(worker.service)
+        return worker
