Refuse heads of callers that grow past the limit

maxHeaderBytes of the configuration was read by no code: a caller's head could grow to 128 fields of 64 KB on each connection. A head that is still incomplete at the limit now gets 431, and its connection closes.

test_head_that_grows_without_end_is_refused failed before.

--- a/packages/daemon/acaciafield_daemon/gateway/listeners.py
+++ b/packages/daemon/acaciafield_daemon/gateway/listeners.py
@@ -11,6 +11,10 @@
 SWEEP_PERIOD_S = 0.5
 EMPTY_LINE_BYTES = b"\r\n"
 HEAD_END = b"\r\n\r\n"
+LARGE_HEAD_ANSWER = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 MAX_HEAD_LINE_BYTES = 65536  # of one line or field of a caller's request
 
 
@@ -18,15 +22,17 @@
     """One connection of a caller.
 
     ``head_started_at`` is the loop's time at which the first bytes of an
-    incomplete request head arrived, or None. ``content`` is the body of the
-    last request that was passed to the request handler, or None.
+    incomplete request head arrived, or None, and ``head_bytes`` its size so
+    far. ``content`` is the body of the last request that was passed to the
+    request handler, or None.
     """
 
-    __slots__ = ("head_started_at", "content")
+    __slots__ = ("head_started_at", "head_bytes", "content")
 
     def __init__(self, manager, **options):
         super().__init__(manager, **options)
         self.head_started_at = None
+        self.head_bytes = 0
         self.content = None
 
     def data_received(self, data):
@@ -36,24 +42,25 @@
         empty lines may precede a head; neither starts one.
         """
         request_count = self._request_count
-        was_in_progress = self._request_in_progress
         content = self._find_open_content()
         size_before = content.total_bytes if content is not None else 0
         super().data_received(data)
         if self._request_count != request_count or self._request_in_progress:
             self.head_started_at = None
-            return
-        if was_in_progress or self.head_started_at is not None:
-            return
-        if content is not None:
-            if not content.is_eof():
-                return
-            body_size = content.total_bytes - size_before
-            # A body in chunks ends like a complete head.
-            if data.endswith(HEAD_END) or body_size >= len(data):
-                return
-        if data.strip(EMPTY_LINE_BYTES):
+        elif self.head_started_at is not None:
+            self.head_bytes += len(data)
+            if self.head_bytes > self._manager.max_head_bytes:
+                self._refuse_head()
+        elif has_head_start(data, content, size_before):
             self.head_started_at = self._loop.time()
+            # Some of the bytes may belong to the body before the head.
+            self.head_bytes = 0 if content is not None else len(data)
+
+    def _refuse_head(self):
+        """Answer a head that is too large and close the connection."""
+        self._manager.large_heads_refused += 1
+        self.transport.write(LARGE_HEAD_ANSWER)
+        self.force_close()
 
     def _find_open_content(self):
         """Return the request body that is being received, or None."""
@@ -75,7 +82,8 @@
 
     ``handler`` answers the requests; ``limits`` is the routes.Limits in
     force, or None; ``slow_heads_closed`` counts the connections closed
-    because their request head took too long.
+    because their request head took too long, ``large_heads_refused`` those
+    because it was too large.
     """
 
     def __init__(self, handler):
@@ -83,6 +91,7 @@
         self.handler = handler
         self.limits = None
         self.slow_heads_closed = 0
+        self.large_heads_refused = 0
 
     def __call__(self):
         """Return the handler of a new connection."""
@@ -104,6 +113,13 @@
         request.protocol.content = request.content
         return await self.handler(request)
 
+    @property
+    def max_head_bytes(self):
+        """The largest size of an incomplete request head."""
+        if self.limits is None:
+            return MAX_HEAD_LINE_BYTES
+        return self.limits.max_header_bytes
+
     def abort_connections(self):
         """Reset all connections, so that no answer looks complete."""
         for handler in list(self.connections):
@@ -122,3 +138,19 @@
                 if started_at is not None and started_at < started_before:
                     self.slow_heads_closed += 1
                     handler.force_close()
+
+
+def has_head_start(data, content, size_before):
+    """Return whether received bytes end with the start of a request head.
+
+    ``content`` is the aiohttp.StreamReader of the body that they continue, or
+    None, and ``size_before`` the size of that body before they came.
+    """
+    if content is not None:
+        if not content.is_eof():
+            return False
+        body_size = content.total_bytes - size_before
+        # The last chunk of a body ends like a complete head.
+        if data.endswith(HEAD_END) or body_size >= len(data):
+            return False
+    return bool(data.strip(EMPTY_LINE_BYTES))
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -458,6 +458,7 @@
             "held_body_bytes": self.request_server.body_reader.held_bytes,
             "held_answer_bytes": self.worker_client.held_bytes,
             "slow_heads_closed": self._caller_server.slow_heads_closed,
+            "large_heads_refused": self._caller_server.large_heads_refused,
         }
         shares = self.state.measure_used_shares(now)
         return self.metrics.format_metrics(gauges, shares).encode()
--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -14,7 +14,9 @@
 LARGE_BODY = (
     b"0123456789abcdef" * 524_288
 )  # 8 MiB, more than is held of one answer
+MAX_HEADER_BYTES = 16384
 LIMITS = {
+    "maxHeaderBytes": MAX_HEADER_BYTES,
     "maxBodyBytes": 67_108_864,
     "headerTimeoutMs": 400,
     "idleTimeoutMs": 1000,
@@ -63,6 +65,30 @@
     run_steps(steps)
 
 
+@pytest.mark.parametrize("start", [b"", make_head(300, b"x" * 300)])
+def test_head_that_grows_without_end_is_refused(start):
+    # Guards against callers whose heads fill the memory of a host.
+    async def steps(harness):
+        start_line = b"GET /b/x HTTP/1.1\r\nHost: b.example\r\n"
+        async with connect(harness, start) as (reader, writer):
+            if start:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(300)
+            writer.write(start_line)
+            size = 0
+            answer = asyncio.ensure_future(reader.readline())
+            while not answer.done():
+                writer.write(b"X-A: %s\r\n" % (b"a" * 993))
+                size += 1000
+                await asyncio.sleep(0.002)
+                assert size < 2 * MAX_HEADER_BYTES
+            assert b" 431 " in answer.result()
+            assert size > MAX_HEADER_BYTES - 2000
+        assert harness.node._caller_server.large_heads_refused == 1
+
+    run_steps(steps)
+
+
 def test_caller_that_sends_nothing_is_disconnected():
     async def steps(harness):
         async with connect(harness, b"") as (reader, _):
