Soak: an answer without a length is endless, not a wrong one

The caller with a kept connection took the head of a worker's endless answer, which the node streams in chunks, for an answer with an empty body. It now reads on and counts the answer as cut.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -199,7 +199,12 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         first, *lines = head.rstrip().lower().split("\r\n")
         headers = dict(line.split(": ", 1) for line in lines)
-        length = int(headers.get("content-length", "0"))
+        if "content-length" not in headers:
+            # Only an endless answer of a worker has no length.
+            while await reader.read(soak_fleet.READ_BYTES):
+                pass
+            raise EOFError(sent.request_id)
+        length = int(headers["content-length"])
         content = await reader.readexactly(length)
         expected = soak_fleet.make_answer(sent.request_id)
         sent.is_expected = content == expected
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -42,6 +42,7 @@
 CRASH_PATH = "/crash"  # in the path of a request that crashes its worker
 RESTART_DELAY_S = 2.0  # of a crashed worker
 ENDLESS_CHUNK = b"x" * 65536
+READ_BYTES = 65536  # of an endless answer at a time
 INTERIM_HEADS = b"HTTP/1.1 100 Continue\r\n\r\n" * 2600
 PORT_OFFSETS = {"front": 0, "readiness": 1, "directory": 2, "control": 3}
 FIRST_PORT = 21000  # each node has an IP address of its own
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """The soak test: its checks find violations, and a short run has none."""
 
+import asyncio
+
 import pytest
 
 from bench import soak
@@ -109,3 +111,20 @@
     assert violations == []
     assert sum(run.record.fault_counts.values()) > 3
     assert len(run.record.sent) > 100
+
+
+def test_endless_answer_on_a_kept_connection_counts_as_cut():
+    # Guards against a soak that takes an endless answer for a wrong one.
+    async def read():
+        reader = asyncio.StreamReader()
+        reader.feed_data(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nxxxxx"
+        )
+        reader.feed_eof()
+        sent = make_sent(status=0, is_expected=False)
+        caller = soak.KeptConnectionCaller(soak.Soak(SEED, SECONDS, NODES), 1)
+        with pytest.raises(EOFError):
+            await caller._read_answer(reader, sent)
+        return sent.status
+
+    assert asyncio.run(read()) == 0
