Let both simulations of leaving workers write entries alike

The removals' simulation repeated the search for a worker's entry and the making of its next one. One method now stores an entry, which each simulation does in its own way, and restoring an old entry uses it too.

--- a/tests/gateway_departure_simulation.py
+++ b/tests/gateway_departure_simulation.py
@@ -138,17 +138,21 @@
         )
 
     def _write(self, worker_id, **fields):
-        """Write a worker's next entry to the store."""
-        entries = self.fleet.entries
-        for index, entry in enumerate(entries):
+        """Write a worker's next entry to the store; return the one before."""
+        for entry in self.fleet.entries:
             if entry.worker_id == worker_id:
                 values = {n: getattr(entry, n) for n in entry.__slots__}
                 values["sequence"] += 1
-                newer = type(entry)(**(values | fields))
-                self.fleet.entries = [*entries]
-                self.fleet.entries[index] = newer
+                self._store_entry(type(entry)(**(values | fields)))
                 return entry
 
+    def _store_entry(self, newer):
+        """Put an entry in the place of the worker's earlier one."""
+        self.fleet.entries = [
+            newer if entry.worker_id == newer.worker_id else entry
+            for entry in self.fleet.entries
+        ]
+
     def _plan_records(self, worker_id, at):
         def write(now):
             has_left = worker_id in self.left_at
@@ -177,19 +181,10 @@
             old = self._write(worker_id, sequence=self._count(), draining=True)
             if late:
                 after = self.random.uniform(0.0, 8.0)
-                self.fleet.plan(
-                    now + after, lambda _: self._restore_old_entry(old)
-                )
+                self.fleet.plan(now + after, lambda _: self._store_entry(old))
 
         self.fleet.plan(self.random.uniform(12.0, 26.0), leave)
 
-    def _restore_old_entry(self, old):
-        """Write a worker's old record over its newer ones."""
-        self.fleet.entries = [
-            old if entry.worker_id == old.worker_id else entry
-            for entry in self.fleet.entries
-        ]
-
     def _plan_fault(self):
         fleet = self.fleet
         start = self.random.uniform(12.0, 26.0)
@@ -262,12 +257,10 @@
     def _write(self, worker_id, **fields):
         if worker_id in self.left_at:
             return None
-        for entry in self.fleet.entries:
-            if entry.worker_id == worker_id:
-                values = {n: getattr(entry, n) for n in entry.__slots__}
-                newer = type(entry)(**(values | fields))
-                self.fleet.append_record(worker_id, newer)
-                return entry
+        return super()._write(worker_id, **fields)
+
+    def _store_entry(self, newer):
+        self.fleet.append_record(newer.worker_id, newer)
 
     def _plan_departure(self):
         worker_id = "w%d" % self.random.randint(1, WORKERS)
