Share the sending of a late body between two tests of a stop

Two ways of leaving a connection idle differed in the path and the status only; both keep their assertions. tests/test_gateway_stop.py -k late_body (11 tests) and make lint pass.

--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -63,12 +63,17 @@
     assert (await read_answer(reader))[0] == 200
 
 
-async def send_served_late_body(reader, writer):
-    """Get an answer to a request whose body comes after its head."""
-    writer.write(make_head("POST", "/a/x", "a.example", len(BODY)))
+async def send_late_body(reader, writer, path):
+    """Send a body after its head; return the status of the answer."""
+    writer.write(make_head("POST", path, "a.example", len(BODY)))
     await asyncio.sleep(BODY_DELAY_S)
     writer.write(BODY)
-    assert (await read_answer(reader))[0] == 200
+    return (await read_answer(reader))[0]
+
+
+async def send_served_late_body(reader, writer):
+    """Get an answer to a request whose body comes after its head."""
+    assert await send_late_body(reader, writer, "/a/x") == 200
 
 
 async def send_unrouted(reader, writer):
@@ -80,10 +85,7 @@
 
 async def send_unrouted_late_body(reader, writer):
     """Get a 404 before the body is sent."""
-    writer.write(make_head("POST", "/none/", "a.example", len(BODY)))
-    await asyncio.sleep(BODY_DELAY_S)
-    writer.write(BODY)
-    assert (await read_answer(reader))[0] == 404
+    assert await send_late_body(reader, writer, "/none/") == 404
 
 
 async def send_unrouted_body_in_parts(reader, writer):
