Fix the interfaces of keys, quotas, store eras and own settings

Several parts are built side by side, so the fields of messages, the types of the configuration and the settings come first: workspaces and their keys, bounds of revocation and quotas, the age of the configuration and the era of the store in heartbeats, quota requests and transfers, and the gateway's own INI file. An older node omits fields that have a default.

Run: the tests of the gateway's settings, routes, node, scheduler, coordination and bodies, and the doctests.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -13,9 +13,10 @@
 from acaciafield.gateway import backends
 from acaciafield.gateway import messages
 from acaciafield.gateway import scheduling
+from acaciafield.gateway import terms
 from acaciafield import structs
 
-TERMS = scheduling.Terms(ratio=0.2, slack=60.0, window=10.0, floor=0.7)
+TERMS = terms.Terms(ratio=0.2, slack=60.0, window=10.0, floor=0.7)
 FAILURE_TIME_S = 0.003  # duration of a request that fails
 HEALTHY_ERROR_SHARE = 0.012  # share of requests that fail at healthy workers
 DURATION_S = 40.0  # of one simulation
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -14,6 +14,8 @@
     ``is_last_attempt`` is set if a failure of this attempt is final;
     ``target`` is the latency objective and ``time_left`` the time until
     the deadline, in seconds; ``avoided_workers`` lists worker identifiers.
+    ``workspace`` is the name of the caller's workspace, "" without one, and
+    ``workspace_priority`` its priority, None without one.
     """
 
     KIND = 1
@@ -31,7 +33,10 @@
         "is_last_attempt",
         "avoided_workers",
         "fingerprint",
+        "workspace",
+        "workspace_priority",
     )
+    DEFAULTS = {"workspace": "", "workspace_priority": None}
 
 
 class Grant(structs.Struct):
@@ -114,7 +119,10 @@
 
 
 class GrantNotice(structs.Struct):
-    """A coordinator's notice of a grant to the other coordinators."""
+    """A coordinator's notice of a grant to the other coordinators.
+
+    ``workspace`` is that of the GrantRequest.
+    """
 
     KIND = 7
     __slots__ = (
@@ -126,7 +134,9 @@
         "time_left",
         "retry_count",
         "fingerprint",
+        "workspace",
     )
+    DEFAULTS = {"workspace": ""}
 
 
 class Heartbeat(structs.Struct):
@@ -137,6 +147,8 @@
     has the members if ``digest`` differs from the coordinator's.
     ``crash_digest`` is of the node's crashes.CrashLedger; ``crashes`` has
     its rows if the coordinator's digest differed in its last answer.
+    ``sent_at`` is the time of the sender's CLOCK_BOOTTIME in seconds, which
+    the answer returns; it means nothing to any other node.
     """
 
     KIND = 8
@@ -153,8 +165,9 @@
         "is_list_wanted",
         "crash_digest",
         "crashes",
+        "sent_at",
     )
-    DEFAULTS = {"crash_digest": "", "crashes": ()}
+    DEFAULTS = {"crash_digest": "", "crashes": (), "sent_at": None}
 
 
 class HeartbeatAnswer(structs.Struct):
@@ -166,7 +179,11 @@
     rows as of members.Member; ``departures`` has rows of the workers that
     left recently: worker id, incarnation, sequence.
     ``crash_digest`` and ``crashes`` are as in a Heartbeat, with rows where
-    the digests differ.
+    the digests differ. ``heartbeat_sent_at`` is the ``sent_at`` of the
+    heartbeat, None in a message that answers none; ``config_age`` is the
+    time in seconds since the coordinator's ``config_version`` was known to
+    be in force, or None. ``store_era`` is the highest era that the store
+    reported, 0 if unknown.
     """
 
     KIND = 9
@@ -182,8 +199,18 @@
         "departures",
         "crash_digest",
         "crashes",
+        "heartbeat_sent_at",
+        "config_age",
+        "store_era",
     )
-    DEFAULTS = {"departures": (), "crash_digest": "", "crashes": ()}
+    DEFAULTS = {
+        "departures": (),
+        "crash_digest": "",
+        "crashes": (),
+        "heartbeat_sent_at": None,
+        "config_age": None,
+        "store_era": 0,
+    }
 
 
 class ConfigNotice(structs.Struct):
@@ -207,6 +234,27 @@
     __slots__ = ("rows",)
 
 
+class QuotaRequest(structs.Struct):
+    """A coordinator's request for quota tokens of another coordinator.
+
+    ``rows`` has the name of a workspace and a number of tokens each;
+    ``request_id`` identifies the request at the coordinator ``node``.
+    """
+
+    KIND = 13
+    __slots__ = ("node", "request_id", "rows")
+
+
+class QuotaTransfer(structs.Struct):
+    """Quota tokens that ``node`` took out of its buckets for a request.
+
+    ``rows`` has the name of a workspace and a number of tokens each.
+    """
+
+    KIND = 14
+    __slots__ = ("node", "request_id", "rows")
+
+
 CLASS_BY_KIND = {
     message_class.KIND: message_class
     for message_class in (
@@ -222,6 +270,8 @@
         ConfigNotice,
         DepartureNotice,
         CrashRecords,
+        QuotaRequest,
+        QuotaTransfer,
     )
 }
 
@@ -241,6 +291,10 @@
     if not isinstance(row, list) or not row:
         raise ValueError("not a message")
     message_class = CLASS_BY_KIND.get(row[0])
-    if message_class is None or len(row) != len(message_class.__slots__) + 1:
+    if message_class is None:
         raise ValueError("unknown message")
-    return message_class(*row[1:])
+    try:
+        # A node of an older build omits the fields that have a default.
+        return message_class(*row[1:])
+    except TypeError as error:
+        raise ValueError("unknown message") from error
--- a/packages/coordination/acaciafield/gateway/routes.py
+++ b/packages/coordination/acaciafield/gateway/routes.py
@@ -24,7 +24,8 @@
 
     ``timeout`` and ``target`` are in seconds, ``priority`` 0 is the most
     urgent. ``split`` is a list of (service, weight); it is empty if the
-    route is unreadable, so that its requests must be refused.
+    route is unreadable, so that its requests must be refused. With
+    ``skip_auth``, its requests need no key.
     """
 
     __slots__ = (
@@ -37,7 +38,9 @@
         "priority",
         "max_attempts",
         "split",
+        "skip_auth",
     )
+    DEFAULTS = {"skip_auth": False}
 
     @property
     def idempotent(self):
@@ -86,7 +89,8 @@
 
     A look-up takes one probe for each prefix length that the host name
     has, whatever the number of routes. ``findings`` describes the
-    unreadable parts, in a line of text each.
+    unreadable parts, in a line of text each. ``workspaces`` is a
+    workspaces.WorkspaceTable, or None if requests need no key.
     """
 
     __slots__ = (
@@ -95,15 +99,25 @@
         "limits",
         "routes",
         "findings",
+        "workspaces",
         "_tables_by_host",
     )
 
-    def __init__(self, version, routes, services, limits, findings=()):
+    def __init__(
+        self,
+        version,
+        routes,
+        services,
+        limits,
+        findings=(),
+        workspaces=None,
+    ):
         self.version = version
         self.services = services
         self.limits = limits
         self.routes = routes
         self.findings = list(findings)
+        self.workspaces = workspaces
         self._tables_by_host = {}
         for route in routes:
             tables = self._tables_by_host.setdefault(
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -96,16 +96,6 @@
         return self.sort_key < other.sort_key
 
 
-class Terms(structs.Struct):
-    """The operator's limits on repeats, and the floor.
-
-    ``window`` is in seconds. ``floor`` is the share of the healthy workers
-    of a service that must stay in use.
-    """
-
-    __slots__ = ("ratio", "slack", "window", "floor")
-
-
 class InFlightRequest(structs.Struct):
     """An in-flight request at a worker; times in seconds.
 
--- /dev/null
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -0,0 +1,127 @@
+"""A caller's request in progress, and what is known of its attempts."""
+
+import asyncio
+
+import xxhash
+
+from acaciafield.gateway import attempts
+from acaciafield import outcomes
+from acaciafield import structs
+from acaciafield_daemon.gateway import upstream
+
+Ending = outcomes.Ending
+
+DEFAULT_TIMEOUT_S = 30.0  # for a caller that sends no deadline
+
+
+class NoGrant(structs.Struct):
+    """An attempt without a grant; ``retry_after`` is in seconds."""
+
+    __slots__ = ("reason", "retry_after")
+
+
+class Call:
+    """A caller's request in progress.
+
+    ``deadline`` is the time of this process's clock at which the timeout
+    of the caller or the route ends, ``caller_deadline`` that of the
+    caller alone. ``sent_at`` is the time at which the last attempt was
+    sent, ``hedge_after`` the seconds from then to a hedge, or None.
+    ``changed`` is set when an attempt goes to a worker and when the call
+    is aborted, as ``is_aborted`` then says.
+    ``ended_attempts`` lists the GrantRequest, Grant and
+    upstream.AttemptResult of each attempt that ended.
+    """
+
+    __slots__ = (
+        "outgoing",
+        "route",
+        "service",
+        "started",
+        "deadline",
+        "caller_deadline",
+        "fingerprint",
+        "retry_state",
+        "tried_workers",
+        "attempt_count",
+        "hedge_after",
+        "sent_at",
+        "changed",
+        "is_aborted",
+        "ended_attempts",
+    )
+
+    def __init__(self, outgoing, route, started, time_left, fingerprint):
+        self.outgoing = outgoing
+        self.route = route
+        self.service = route.choose_service(outgoing.request_id)
+        self.started = started
+        self.deadline = started + min(time_left, route.timeout)
+        self.caller_deadline = started + time_left
+        self.fingerprint = fingerprint
+        self.retry_state = attempts.RetryState(
+            route.idempotent, route.max_attempts
+        )
+        self.tried_workers = []
+        self.attempt_count = 0
+        self.hedge_after = None
+        self.sent_at = None
+        self.changed = asyncio.Event()
+        self.is_aborted = False
+        self.ended_attempts = []
+
+    def abort(self):
+        """End the call without waiting for its attempts."""
+        self.is_aborted = True
+        self.changed.set()
+
+    def is_at_worker(self):
+        """Return whether an attempt was sent and has not ended."""
+        return len(self.tried_workers) > len(self.ended_attempts)
+
+
+def choose_failure(last_failure, result):
+    """Return the failure that is more informative for the caller."""
+    if isinstance(last_failure, upstream.AttemptResult) and isinstance(
+        result, NoGrant
+    ):
+        return last_failure
+    if may_have_run(last_failure) and result.ending is not Ending.FAILED:
+        return last_failure
+    return result
+
+
+def may_have_run(result):
+    """Return whether a worker may have executed an attempt."""
+    if not isinstance(result, upstream.AttemptResult):
+        return False
+    return result.ending not in attempts.NOT_RUN_ENDINGS
+
+
+def parse_timeout(text):
+    """Return the seconds in a deadline header, in milliseconds there.
+
+    >>> parse_timeout("1500")
+    1.5
+    >>> parse_timeout(None)
+    30.0
+    """
+    try:
+        return max(0.0, int(text) / 1000.0)
+    except (TypeError, ValueError):
+        return DEFAULT_TIMEOUT_S
+
+
+def fingerprint(request, body):
+    """Return a digest that all repetitions of a request share."""
+    digest = xxhash.xxh3_64()
+    for part in (
+        request.method,
+        request.headers.get("Host", ""),
+        request.raw_path,
+        request.remote or "",
+    ):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(body)
+    return digest.hexdigest()
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -21,15 +21,13 @@
 from acaciafield_daemon.gateway import grant_requests
 from acaciafield_daemon.gateway import listeners
 from acaciafield_daemon.gateway import metrics
+from acaciafield_daemon.gateway import pages
 from acaciafield_daemon.gateway import peers
 from acaciafield_daemon.gateway import request_server
 from acaciafield_daemon.gateway import store_reader
 from acaciafield_daemon.gateway import upstream
 from acaciafield_daemon import loop_timers
 
-ADDRESS_TTL_S = 2  # how long callers may cache addresses
-MIN_ADDRESSES = 3  # below that, callers get addresses of all zones
-MAX_ADDRESSES = 64  # in one answer to callers
 START_PAUSE_S = 0.3  # after the first attempt to join the fleet
 CONFIG_WAIT_S = 1.5  # for a coordinator to announce a configuration
 MAX_START_PAUSE_S = 2.0  # the pause doubles up to this value
@@ -68,11 +66,12 @@
         self.state = node_state.NodeState(
             local_member, options.terms, local_member.incarnation
         )
+        self.pages = pages.NodePages(self)
         documents = {
             "configuration": lambda: self.raw_configuration,
             "members": self._dump_members,
             "workers": self._dump_workers,
-            "metrics": self._dump_metrics,
+            "metrics": self.pages.dump_metrics,
         }
         self.peers = peers.PeerTransport(
             options.ip, options.peer_port, self._receive, documents
@@ -94,7 +93,7 @@
         )
         self.stopping = asyncio.Event()
         self._listeners = []
-        self._caller_server = listeners.CallerServer(
+        self.caller_server = listeners.CallerServer(
             self.request_server.handle_request
         )
         self._running_calls = 0
@@ -116,7 +115,7 @@
             self._flush_log()
             join = asyncio.ensure_future(self._join_fleet())
             sweep = asyncio.ensure_future(
-                self._caller_server.close_slow_connections()
+                self.caller_server.close_slow_connections()
             )
             await self.stopping.wait()
             join.cancel()
@@ -127,15 +126,15 @@
 
     async def _listen(self):
         options = self.options
-        await self._open_listener(self._caller_server, options.caller_port)
+        await self._open_listener(self.caller_server, options.caller_port)
         await self._open_listener(
-            web.Server(self._answer_ready), options.readiness_port
+            web.Server(self.pages.answer_ready), options.readiness_port
         )
         await self._open_listener(
-            web.Server(self._answer_addresses), options.directory_port
+            web.Server(self.pages.answer_addresses), options.directory_port
         )
         await self._open_listener(
-            web.Server(self._answer_metrics), options.metrics_port
+            web.Server(self.pages.answer_metrics), options.metrics_port
         )
 
     async def _open_listener(self, server, port):
@@ -317,7 +316,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self.request_server.configuration = configuration
-        self._caller_server.limits = configuration.limits
+        self.caller_server.limits = configuration.limits
         self.state.is_ready = True
         self.raw_configuration = raw
         self.log.write(
@@ -409,60 +408,6 @@
             )
             return None
 
-    async def _answer_ready(self, request):
-        is_ready = self._is_ready()
-        return web.Response(status=200 if is_ready else 503)
-
-    def _is_ready(self):
-        if self.stopping.is_set():
-            return False
-        return self.state.is_serving(self.clock())
-
-    async def _answer_addresses(self, request):
-        zone = request.query.get("zone", "")
-        if not self._is_ready():
-            return web.Response(status=503)
-        ips = self.state.membership.list_ready_ips(
-            zone, MIN_ADDRESSES, request.remote or ""
-        )
-        ips = ips or [self.options.ip]
-        if len(ips) > MAX_ADDRESSES:
-            ips = self.state.random.sample(ips, MAX_ADDRESSES)
-        port = self.options.caller_port
-        body = {
-            "addresses": ["%s:%d" % (ip, port) for ip in ips],
-            "ttlS": min(ADDRESS_TTL_S, self.options.max_address_ttl),
-        }
-        return web.Response(
-            body=orjson.dumps(body), content_type="application/json"
-        )
-
-    async def _answer_metrics(self, request):
-        return web.Response(body=self._dump_metrics())
-
-    def _dump_metrics(self):
-        now = self.clock()
-        version = 0
-        if self.request_server.configuration is not None:
-            version = self.request_server.configuration.version
-        gauges = {
-            "requests_in_hand": self.request_server.active,
-            "configuration_version": version,
-            "members": len(self.state.membership.members),
-            "coordinating": int(self.state.is_coordinating),
-            "paused_workers": self.state.pauses.count_paused(now),
-            "quarantined": len(self.state.crashes.list_quarantined(now)),
-            "store_age_seconds": self.state.get_store_age(now) or 0,
-            "unreadable_messages": self.peers.unreadable,
-            "log_lines_dropped": self.log.dropped,
-            "held_body_bytes": self.request_server.body_reader.held_bytes,
-            "held_answer_bytes": self.worker_client.held_bytes,
-            "slow_heads_closed": self._caller_server.slow_heads_closed,
-            "large_heads_refused": self._caller_server.large_heads_refused,
-        }
-        shares = self.state.measure_used_shares(now)
-        return self.metrics.format_metrics(gauges, shares).encode()
-
     def _flush_log(self):
         self.log.flush()
         self.loop.call_later(decision_log.FLUSH_PERIOD_S, self._flush_log)
@@ -480,6 +425,7 @@
         self.options.terms = found.terms
         self.options.grace = found.grace
         self.options.max_address_ttl = found.max_address_ttl
+        self.options.limits = found.limits
         self.state.apply_terms(found.terms)
         self.log.write("reload", terms=repr(found.terms), grace=found.grace)
 
@@ -494,7 +440,7 @@
         await self._close_connections(stop.exit_at)
         self.request_server.abort_calls()
         await self._close_connections(stop.exit_at + LAST_ANSWER_TIME_S)
-        self._caller_server.abort_connections()
+        self.caller_server.abort_connections()
         await asyncio.sleep(STOP_PAUSE_S)
         self.store_reader.set_active(False)
 
@@ -504,8 +450,8 @@
         The listener may still accept a connection while it closes, so the
         loop checks for new ones until none is left.
         """
-        while self._caller_server.connections and self.clock() < until:
-            for handler in self._caller_server.connections:
+        while self.caller_server.connections and self.clock() < until:
+            for handler in self.caller_server.connections:
                 if handler.is_idle():
                     handler.force_close()
             await asyncio.sleep(STOP_PAUSE_S)
--- a/packages/daemon/acaciafield_daemon/gateway/options.py
+++ b/packages/daemon/acaciafield_daemon/gateway/options.py
@@ -1,6 +1,7 @@
 """Options of a gateway process, as read from its settings."""
 
 from acaciafield import structs
+from acaciafield_daemon.gateway import settings
 
 
 class HeaderNames(structs.Struct):
@@ -14,6 +15,8 @@
         "not_executed",
         "worker_load",
         "leaving",
+        "key",
+        "workspace",
     )
 
 
@@ -23,7 +26,8 @@
     Ports are the same on every node. Times are in seconds: ``grace`` is
     the time between the stop signal and the kill, ``max_address_ttl`` the
     longest time for which callers may cache addresses. ``memory_bytes``
-    is the memory of the host.
+    is the memory of the host and ``max_descriptors`` its limit on open file
+    descriptors. ``limits`` is the settings.GatewaySettings.
     """
 
     __slots__ = (
@@ -42,4 +46,7 @@
         "grace",
         "max_address_ttl",
         "headers",
+        "max_descriptors",
+        "limits",
     )
+    DEFAULTS = {"max_descriptors": 4096, "limits": settings.GatewaySettings()}
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -3,20 +3,18 @@
 import asyncio
 
 from aiohttp import web
-import xxhash
 
 from acaciafield.gateway import attempts
 from acaciafield.gateway import messages
 from acaciafield import outcomes
-from acaciafield import structs
 from acaciafield_daemon.gateway import bodies
+from acaciafield_daemon.gateway import calls
 from acaciafield_daemon.gateway import responses
 from acaciafield_daemon.gateway import upstream
 
 Ending = outcomes.Ending
 Step = attempts.Step
 
-DEFAULT_TIMEOUT_S = 30.0  # for a caller that sends no deadline
 # A worker's own answer to a missed deadline may arrive this much later.
 LATE_ANSWER_SLACK_S = 0.1
 GRANT_WAIT_SHARE = 0.5  # of the target
@@ -28,72 +26,6 @@
 OVERLOAD_RETRY_AFTER_S = 0.3  # where no coordinator gave a time
 
 
-class NoGrant(structs.Struct):
-    """An attempt without a grant; ``retry_after`` is in seconds."""
-
-    __slots__ = ("reason", "retry_after")
-
-
-class Call:
-    """A caller's request in progress.
-
-    ``deadline`` is the time of this process's clock at which the timeout
-    of the caller or the route ends, ``caller_deadline`` that of the
-    caller alone. ``sent_at`` is the time at which the last attempt was
-    sent, ``hedge_after`` the seconds from then to a hedge, or None.
-    ``changed`` is set when an attempt goes to a worker and when the call
-    is aborted, as ``is_aborted`` then says.
-    ``ended_attempts`` lists the GrantRequest, Grant and
-    upstream.AttemptResult of each attempt that ended.
-    """
-
-    __slots__ = (
-        "outgoing",
-        "route",
-        "service",
-        "started",
-        "deadline",
-        "caller_deadline",
-        "fingerprint",
-        "retry_state",
-        "tried_workers",
-        "attempt_count",
-        "hedge_after",
-        "sent_at",
-        "changed",
-        "is_aborted",
-        "ended_attempts",
-    )
-
-    def __init__(self, outgoing, route, started, time_left, fingerprint):
-        self.outgoing = outgoing
-        self.route = route
-        self.service = route.choose_service(outgoing.request_id)
-        self.started = started
-        self.deadline = started + min(time_left, route.timeout)
-        self.caller_deadline = started + time_left
-        self.fingerprint = fingerprint
-        self.retry_state = attempts.RetryState(
-            route.idempotent, route.max_attempts
-        )
-        self.tried_workers = []
-        self.attempt_count = 0
-        self.hedge_after = None
-        self.sent_at = None
-        self.changed = asyncio.Event()
-        self.is_aborted = False
-        self.ended_attempts = []
-
-    def abort(self):
-        """End the call without waiting for its attempts."""
-        self.is_aborted = True
-        self.changed.set()
-
-    def is_at_worker(self):
-        """Return whether an attempt was sent and has not ended."""
-        return len(self.tried_workers) > len(self.ended_attempts)
-
-
 class RequestServer:
     """Serves callers on one node.
 
@@ -187,7 +119,7 @@
             return self._refuse_request(
                 request_id, "route-unreadable", UNREADY_RETRY_AFTER_S
             )
-        time_left = parse_timeout(
+        time_left = calls.parse_timeout(
             request.headers.get(header_names.deadline_ms)
         )
         if not self._may_send(started + time_left):
@@ -208,8 +140,8 @@
                 body,
                 request_id,
             )
-            digest = fingerprint(request, body)
-            call = Call(outgoing, route, started, time_left, digest)
+            digest = calls.fingerprint(request, body)
+            call = calls.Call(outgoing, route, started, time_left, digest)
             return await self._serve_call(call, request)
         finally:
             self.body_reader.release(body)
@@ -250,7 +182,7 @@
                     )
                     if response is not None:
                         return response
-                    last_failure = choose_failure(last_failure, result)
+                    last_failure = calls.choose_failure(last_failure, result)
             return self._answer_failure(call, last_failure)
         finally:
             self.calls.discard(call)
@@ -297,7 +229,7 @@
         )
 
     async def _process_result(self, call, result, request, running):
-        if isinstance(result, NoGrant):
+        if isinstance(result, calls.NoGrant):
             return None
         call.retry_state.count_attempt(result.ending)
         time_left = call.deadline - self.clock()
@@ -332,7 +264,7 @@
                 reason=reason,
                 retry_after=retry_after,
             )
-            return NoGrant(reason, retry_after)
+            return calls.NoGrant(reason, retry_after)
         if not self._may_send(call.caller_deadline):
             self.grant_requester.withdraw_request(grant_request)
             return self._refuse_to_send(call, number)
@@ -348,7 +280,7 @@
             reason=STOPPING_REASON,
             retry_after=STOPPING_RETRY_AFTER_S,
         )
-        return NoGrant(STOPPING_REASON, STOPPING_RETRY_AFTER_S)
+        return calls.NoGrant(STOPPING_REASON, STOPPING_RETRY_AFTER_S)
 
     def _make_grant_request(self, call, number):
         route = call.route
@@ -466,7 +398,7 @@
     def _answer_failure(self, call, last_failure):
         header_names = self.options.headers
         request_id = call.outgoing.request_id
-        if may_have_run(last_failure):
+        if calls.may_have_run(last_failure):
             if last_failure.ending is not Ending.FAILED:
                 self._record_end(call, "unknown", 502)
                 return responses.make_error_response(
@@ -481,7 +413,7 @@
                 body=last_failure.body,
             )
         retry_after = OVERLOAD_RETRY_AFTER_S
-        if isinstance(last_failure, NoGrant):
+        if isinstance(last_failure, calls.NoGrant):
             retry_after = last_failure.retry_after
         self._record_end(call, "refused", 503)
         return responses.make_error_response(
@@ -513,50 +445,3 @@
             latency=round(latency, 3),
             late=latency > call.route.target,
         )
-
-
-def choose_failure(last_failure, result):
-    """Return the failure that is more informative for the caller."""
-    if isinstance(last_failure, upstream.AttemptResult) and isinstance(
-        result, NoGrant
-    ):
-        return last_failure
-    if may_have_run(last_failure) and result.ending is not Ending.FAILED:
-        return last_failure
-    return result
-
-
-def may_have_run(result):
-    """Return whether a worker may have executed an attempt."""
-    if not isinstance(result, upstream.AttemptResult):
-        return False
-    return result.ending not in attempts.NOT_RUN_ENDINGS
-
-
-def parse_timeout(text):
-    """Return the seconds in a deadline header, in milliseconds there.
-
-    >>> parse_timeout("1500")
-    1.5
-    >>> parse_timeout(None)
-    30.0
-    """
-    try:
-        return max(0.0, int(text) / 1000.0)
-    except (TypeError, ValueError):
-        return DEFAULT_TIMEOUT_S
-
-
-def fingerprint(request, body):
-    """Return a digest that all repetitions of a request share."""
-    digest = xxhash.xxh3_64()
-    for part in (
-        request.method,
-        request.headers.get("Host", ""),
-        request.raw_path,
-        request.remote or "",
-    ):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(body)
-    return digest.hexdigest()
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -8,8 +8,9 @@
 from acaciafield.gateway import node_state
 from acaciafield.gateway import routes
 from acaciafield.gateway import scheduling
+from acaciafield.gateway import terms
 
-TERMS = scheduling.Terms(ratio=0.2, slack=20.0, window=10.0, floor=0.7)
+TERMS = terms.Terms(ratio=0.2, slack=20.0, window=10.0, floor=0.7)
 
 
 def make_entry(worker_id="w1", **fields):
--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -60,7 +60,7 @@
     async def steps(harness):
         async with connect(harness, data) as (reader, _):
             assert await reader.read() == b""
-        assert harness.node._caller_server.slow_heads_closed == 1
+        assert harness.node.caller_server.slow_heads_closed == 1
 
     run_steps(steps)
 
@@ -84,7 +84,7 @@
                 assert size < 2 * MAX_HEADER_BYTES
             assert b" 431 " in answer.result()
             assert size > MAX_HEADER_BYTES - 2000
-        assert harness.node._caller_server.large_heads_refused == 1
+        assert harness.node.caller_server.large_heads_refused == 1
 
     run_steps(steps)
 
@@ -233,9 +233,9 @@
             b"Acaciafield-Request-Id: just\r\n\r\n"
         )
         async with connect(harness, b"") as (reader, _):
-            while not harness.node._caller_server.connections:
+            while not harness.node.caller_server.connections:
                 await asyncio.sleep(0.01)
-            (handler,) = harness.node._caller_server.connections
+            (handler,) = harness.node.caller_server.connections
             handler.data_received(head)
             end = harness.node.clock() + 1.0
             closing = asyncio.ensure_future(
@@ -252,9 +252,9 @@
     async def steps(harness):
         start = b"GET /b/x HTTP/1.1\r\nHost: b.example\r\n"
         async with connect(harness, start) as (reader, writer):
-            while not harness.node._caller_server.connections:
+            while not harness.node.caller_server.connections:
                 await asyncio.sleep(0.01)
-            (handler,) = harness.node._caller_server.connections
+            (handler,) = harness.node.caller_server.connections
             while handler.is_idle():
                 await asyncio.sleep(0.01)
             end = harness.node.clock() + 1.0
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -175,7 +175,7 @@
             await asyncio.sleep(HEADER_TIMEOUT_S + 1.0)
             writer.write(make_head("GET", "/b/x", "b.example"))
             assert (await read_answer(reader))[0] == 200
-            assert harness.node._caller_server.slow_heads_closed == 0
+            assert harness.node.caller_server.slow_heads_closed == 0
 
     run_steps(steps)
 
