Carry a new configuration to each availability zone once

Each coordinator announced a configuration to all nodes of all zones, which fetched it from whichever notice came first. A coordinator now notifies the members of its zone and the other zones' coordinators. A node fetches from another zone only if its own has not passed the version on within 0.4 s. Documents between nodes are compressed.

--- a/packages/coordination/acaciafield/gateway/heartbeats.py
+++ b/packages/coordination/acaciafield/gateway/heartbeats.py
@@ -14,6 +14,9 @@
 
 COORDINATION_TIME_S = 3.0  # since the last heartbeat or request
 PUSH_PERIOD_S = 0.5  # minimum between unsolicited lists of members
+# Delay of a fetch from another availability zone, within which the
+# coordinator of the local zone usually passes the configuration on.
+REMOTE_FETCH_DELAY_S = 0.4
 
 
 @handlers.apply_event.register
@@ -66,9 +69,25 @@
     if now >= state.coordinating_until:
         return
     notice = messages.ConfigNotice(state.local_member.name, event.version)
-    for member, _ in state.registry.table.values():
-        if member.name != state.local_member.name:
-            out.append(effects.Send(member.ip, notice))
+    for ip in _list_notified_ips(state, now):
+        out.append(effects.Send(ip, notice))
+
+
+def _list_notified_ips(state, now):
+    """Return the addresses of the nodes to notify of a new configuration.
+
+    They are the other members of the local zone and the coordinators of the
+    other zones, so that a large configuration crosses to each zone once.
+    """
+    local_member = state.local_member
+    members_in_zone = [
+        member
+        for member, _ in state.registry.table.values()
+        if member.zone == local_member.zone
+    ]
+    coordinators = [c.member for c in _list_other_coordinators(state, now)]
+    ips = {member.ip for member in members_in_zone + coordinators}
+    return sorted(ips - {local_member.ip})
 
 
 @handlers.apply_event.register
@@ -120,6 +139,7 @@
 def _fire_heartbeat(timer: node_state.HeartbeatTimer, state, now, out):
     state.timers.subscribe("beat", now + members.HEARTBEAT_PERIOD_S, timer)
     _send_heartbeats(state, now, out)
+    _fetch_announced_configuration(state, now, out)
     if now - state.answered_at > node_state.LOCAL_GRANTS_AFTER_S:
         start_coordinating(state, now, out)
     if state.is_coordinating and now > state.coordinating_until:
@@ -277,9 +297,8 @@
             or coordinator.is_unresponsive(now)
         ):
             state.membership.replace_members(message.members, message.digest)
-    _fetch_newer_configuration(
-        message.config_version, candidate.member.ip, state, out
-    )
+    if message.config_version > state.config_version:
+        _receive_newer_version(message.config_version, candidate, state, out)
 
 
 def apply_departures(rows, source, state, now, out):
@@ -303,6 +322,34 @@
     apply_departures(message.rows, sender, state, now, out)
 
 
+def _receive_newer_version(version, candidate, state, out):
+    """Fetch a configuration that a heartbeat answer announces.
+
+    A coordinator of another zone is asked only if the local zone does not
+    pass the configuration on in time.
+    """
+    if candidate.member.zone == state.local_member.zone:
+        _fetch_newer_configuration(version, candidate.member.ip, state, out)
+        return
+    announced = state.announced_version
+    if announced is None or version > announced.version:
+        state.announced_version = node_state.AnnouncedVersion(
+            version, candidate.member.ip, state.now
+        )
+
+
+def _fetch_announced_configuration(state, now, out):
+    """Fetch a configuration that only another zone has announced."""
+    announced = state.announced_version
+    if announced is None:
+        return
+    if announced.version <= state.config_version:
+        state.announced_version = None
+    elif now - announced.announced_at >= REMOTE_FETCH_DELAY_S:
+        state.announced_version = None
+        _fetch_newer_configuration(announced.version, announced.ip, state, out)
+
+
 def _fetch_newer_configuration(version, ip, state, out):
     if version > state.config_version and ip != state.local_member.ip:
         out.append(effects.FetchConfiguration(ip, version))
--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -41,12 +41,22 @@
     __slots__ = ()
 
 
+class AnnouncedVersion(structs.Struct):
+    """A configuration that the node at ``ip`` has announced.
+
+    ``announced_at`` is the time in seconds of its first announcement.
+    """
+
+    __slots__ = ("version", "ip", "announced_at")
+
+
 class NodeState:
     """State of a gateway's node, except its own requests.
 
     ``entries_by_service`` maps a service to its workers, None while these
     are unknown; ``is_coordinating`` is set while the node coordinates and
-    reads the store. Times are in seconds.
+    reads the store; ``announced_version`` is an AnnouncedVersion that is not
+    fetched yet, or None. Times are in seconds.
     """
 
     __slots__ = (
@@ -74,6 +84,7 @@
         "has_reached_coordinator",
         "next_push_at",
         "config_version",
+        "announced_version",
         "is_ready",
         "leaving",
     )
@@ -103,6 +114,7 @@
         self.has_reached_coordinator = False
         self.next_push_at = 0.0
         self.config_version = 0
+        self.announced_version = None
         self.is_ready = False
         self.leaving = False
 
--- a/packages/daemon/acaciafield_daemon/gateway/peers.py
+++ b/packages/daemon/acaciafield_daemon/gateway/peers.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import zlib
 
 import aiohttp
+from aiohttp import hdrs
 from aiohttp import web
 import orjson
 
@@ -11,6 +13,9 @@
 
 FETCH_TIMEOUT_S = 1.0
 MAX_DATAGRAM_BYTES = 60000
+MIN_COMPRESSED_BYTES = 1024  # a smaller document fits into one packet
+COMPRESSION = "deflate"
+COMPRESSION_LEVEL = 3  # a higher one takes longer and gains little on JSON
 DECODE_ERRORS = (ValueError, TypeError, AttributeError, KeyError)
 
 
@@ -29,6 +34,8 @@
         self.unreadable = 0
         self._transport = None
         self._session = None
+        # The last compressed document and its result.
+        self._compressed = (None, None)
 
     @contextlib.asynccontextmanager
     async def open(self):
@@ -81,4 +88,18 @@
         body = make_document() if make_document is not None else None
         if body is None:
             return web.Response(status=404)
-        return web.Response(body=body)
+        accepted = request.headers.get(hdrs.ACCEPT_ENCODING, "")
+        if len(body) < MIN_COMPRESSED_BYTES or COMPRESSION not in accepted:
+            return web.Response(body=body)
+        return web.Response(
+            body=self._compress(body),
+            headers={hdrs.CONTENT_ENCODING: COMPRESSION},
+        )
+
+    def _compress(self, body):
+        """Return a compressed document, which many nodes fetch unchanged."""
+        known_body, compressed = self._compressed
+        if known_body is not body:
+            compressed = zlib.compress(body, COMPRESSION_LEVEL)
+            self._compressed = (body, compressed)
+        return compressed
