Pass evidence on in compressed batches

Datagrams over 512 bytes are compressed. If the granter may be down, a report goes to all holders as before.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -9,6 +9,7 @@
 from acaciafield.gateway import effects
 from acaciafield.gateway import events
 from acaciafield.gateway import evidence
+from acaciafield.gateway import evidence_batches
 from acaciafield.gateway import handlers
 from acaciafield.gateway import heartbeats
 from acaciafield.gateway import messages
@@ -174,7 +175,7 @@
         request.retry_count,
         request.fingerprint,
     )
-    _notify_evidence_holders(request.service, notice, state, out)
+    evidence_batches.queue_message(state, request.service, notice, state.now)
 
 
 def _describe_decision(answer, request, state):
@@ -226,6 +227,11 @@
 
 @handlers.receive_message.register
 def _receive_report(message: messages.AttemptReport, state, sender, now, out):
+    if message.is_relayed:
+        message.is_relayed = False
+        evidence_batches.queue_message(
+            state, message.service, message, now, exclude=message.node
+        )
     _apply_worker_notices(message, state, now, out)
     if state.entries_by_service is None:
         evidence.record_unlisted_attempt(message, state.crashes, now)
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -96,7 +96,8 @@
     answer; ``load`` the worker's [running, waiting, slots] or None.
     ``incarnation`` is that of the worker's entry as granted; the worker may
     announce that it is ``leaving`` or request a ``pause``, in seconds,
-    from ``node``.
+    from ``node``. With ``is_relayed``, the receiver passes the report on to
+    the other evidence holders.
     """
 
     KIND = 6
@@ -114,8 +115,14 @@
         "incarnation",
         "leaving",
         "pause",
+        "is_relayed",
     )
-    DEFAULTS = {"incarnation": 0, "leaving": False, "pause": None}
+    DEFAULTS = {
+        "incarnation": 0,
+        "leaving": False,
+        "pause": None,
+        "is_relayed": False,
+    }
 
 
 class GrantNotice(structs.Struct):
@@ -255,6 +262,13 @@
     __slots__ = ("node", "request_id", "rows")
 
 
+class EvidenceBatch(structs.Struct):
+    """Grant notices and reports of a coordinator, as packed rows."""
+
+    KIND = 15
+    __slots__ = ("rows",)
+
+
 CLASS_BY_KIND = {
     message_class.KIND: message_class
     for message_class in (
@@ -272,6 +286,7 @@
         CrashRecords,
         QuotaRequest,
         QuotaTransfer,
+        EvidenceBatch,
     )
 }
 
--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -3,6 +3,7 @@
 import random
 
 from acaciafield.gateway import crashes
+from acaciafield.gateway import evidence_batches
 from acaciafield.gateway import members
 from acaciafield.gateway import pauses
 from acaciafield.gateway import rosters
@@ -71,6 +72,7 @@
         "entries_by_service",
         "roster",
         "crashes",
+        "evidence_batches",
         "pauses",
         "persisted_counts",
         "next_persist_at",
@@ -101,6 +103,7 @@
         self.entries_by_service = None
         self.roster = rosters.Roster()
         self.crashes = crashes.CrashLedger()
+        self.evidence_batches = evidence_batches.EvidenceBatches()
         self.pauses = pauses.Pauses()
         self.persisted_counts = []
         self.next_persist_at = 0.0
--- a/packages/daemon/acaciafield_daemon/gateway/grant_requests.py
+++ b/packages/daemon/acaciafield_daemon/gateway/grant_requests.py
@@ -165,14 +165,40 @@
     def send_report(self, report, granted_by):
         """Send the report of an ended attempt.
 
-        This node also records crashes, and whether a worker leaves or
-        requests a pause, because coordinators may change.
+        The coordinator that granted it passes the report on, unless it may
+        be down. This node also records crashes, and whether a worker leaves
+        or requests a pause, because coordinators may change.
         """
-        names = {granted_by}
-        crashed = report.ending == outcomes.Ending.RESET.value
-        if crashed or report.leaving or report.pause is not None:
-            names.add(self.state.local_member.name)
-        self.notify_coordinators(report, names)
+        local_name = self.state.local_member.name
+        if not self._may_relay(report.service, granted_by):
+            names = {granted_by}
+            if must_record_locally(report):
+                names.add(local_name)
+            self.notify_coordinators(report, names)
+            return
+        holders = self.state.membership.list_evidence_holders(
+            report.service, self.clock()
+        )
+        is_local_copy_needed = local_name in holders or must_record_locally(
+            report
+        )
+        if is_local_copy_needed and granted_by != local_name:
+            self.send(local_name, report)
+        report.is_relayed = True
+        self.send(granted_by, report)
+
+    def _may_relay(self, service, granted_by):
+        """Return whether a coordinator can pass on a report.
+
+        It must be an evidence holder itself and not be suspected to be down.
+        """
+        membership, now = self.state.membership, self.clock()
+        candidate = membership.candidates.get(granted_by)
+        if candidate is None or candidate.backoff_until > now:
+            return False
+        if candidate.is_unresponsive(now):
+            return False
+        return granted_by in membership.list_evidence_holders(service, now)
 
     def notify_coordinators(self, message, names=()):
         """Send a message to its service's coordinators and to ``names``."""
@@ -183,3 +209,13 @@
         names = {*coordinators, *names} - {""}
         for name in sorted(names):
             self.send(name, message)
+
+
+def must_record_locally(report):
+    """Return whether the node that sent an attempt keeps its report.
+
+    That is so for a crash, and where a worker leaves or requests a pause.
+    """
+    if report.leaving or report.pause is not None:
+        return True
+    return report.ending == outcomes.Ending.RESET.value
--- a/packages/daemon/acaciafield_daemon/gateway/peers.py
+++ b/packages/daemon/acaciafield_daemon/gateway/peers.py
@@ -14,6 +14,10 @@
 FETCH_TIMEOUT_S = 1.0
 MAX_DATAGRAM_BYTES = 60000
 MIN_COMPRESSED_BYTES = 1024  # a smaller document fits into one packet
+# Smaller datagrams hardly shrink, and most of them are urgent.
+MIN_COMPRESSED_DATAGRAM_BYTES = 512
+MAX_DECOMPRESSED_BYTES = 1_048_576  # of a datagram
+COMPRESSED_MARK = b"z"  # before a compressed datagram; JSON starts with [
 COMPRESSION = "deflate"
 COMPRESSION_LEVEL = 3  # a higher one takes longer and gains little on JSON
 DECODE_ERRORS = (ValueError, TypeError, AttributeError, KeyError)
@@ -57,14 +61,14 @@
 
     def send(self, ip, message):
         """Send a message without confirmation; it may be lost."""
-        data = orjson.dumps(messages.pack_message(message))
+        data = encode_datagram(message)
         if len(data) <= MAX_DATAGRAM_BYTES:
             self._transport.sendto(data, (ip, self.port))
 
     def datagram_received(self, data, addr):
         """Decode a datagram and deliver its message."""
         try:
-            message = messages.unpack_message(orjson.loads(data))
+            message = decode_datagram(data)
             self.receive(addr[0], message)
         except DECODE_ERRORS:
             self.unreadable += 1
@@ -103,3 +107,29 @@
             compressed = zlib.compress(body, COMPRESSION_LEVEL)
             self._compressed = (body, compressed)
         return compressed
+
+
+def encode_datagram(message):
+    """Return the bytes of a message, compressed if that is worthwhile.
+
+    >>> encode_datagram(messages.GrantQueued("a1"))
+    b'[3,"a1"]'
+    """
+    data = orjson.dumps(messages.pack_message(message))
+    if len(data) < MIN_COMPRESSED_DATAGRAM_BYTES:
+        return data
+    return COMPRESSED_MARK + zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def decode_datagram(data):
+    """Return the message of a datagram.
+
+    Raises ValueError, or TypeError, if it cannot be decoded.
+    """
+    if data[:1] == COMPRESSED_MARK:
+        decompressor = zlib.decompressobj()
+        try:
+            data = decompressor.decompress(data[1:], MAX_DECOMPRESSED_BYTES)
+        except zlib.error as error:
+            raise ValueError(str(error)) from error
+    return messages.unpack_message(orjson.loads(data))
