Check the keys of workspaces before a request is served

Requests of deployments with workspaces must carry a known key, and a key that the operator removed must stop working everywhere, also on a host that is cut off. Nothing read `tenants` or `skipAuth`, and the caller's key and Acaciafield-Tenant-Id went to the workers.

The platform adapter decodes both; a malformed workspace or key gives a finding without its value, an unreadable table refuses all requests with keys. authentication.py decides before the body is read, and again with the current configuration just before an attempt goes to a worker, where a removed key gets 401. The two headers of a caller never reach a worker; GrantRequest has the workspace and its priority. freshness.py keeps the age of the configuration by CLOCK_BOOTTIME, fed by the reads of the store and by the answers to heartbeats. Reads wait 1 s instead of 2 s where keys are checked.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -30,10 +30,14 @@
 )
 
 
-def reduce_event(state, event):
-    """Apply an event to the state; return the requested effects."""
+def reduce_event(state, event, boot_now=None):
+    """Apply an event to the state; return the requested effects.
+
+    ``boot_now`` is the time of CLOCK_BOOTTIME, by default that of the event.
+    """
     out = []
     state.now = event.now
+    state.boot_now = event.now if boot_now is None else boot_now
     handlers.apply_event(event, state, event.now, out)
     return out
 
--- a/packages/coordination/acaciafield/gateway/events.py
+++ b/packages/coordination/acaciafield/gateway/events.py
@@ -60,6 +60,15 @@
     __slots__ = ("now", "version")
 
 
+class ConfigurationConfirmed(structs.Struct):
+    """This node has all that the store had at the time ``proven_at``.
+
+    ``proven_at`` is in seconds of CLOCK_BOOTTIME.
+    """
+
+    __slots__ = ("now", "proven_at")
+
+
 class MembersRead(structs.Struct):
     """Nodes were read from the store or a seed node, as members.Member."""
 
--- a/packages/coordination/acaciafield/gateway/heartbeats.py
+++ b/packages/coordination/acaciafield/gateway/heartbeats.py
@@ -63,6 +63,7 @@
     if event.version <= state.config_version:
         return
     state.config_version = event.version
+    state.freshness.adopt_version(event.version)
     if now >= state.coordinating_until:
         return
     notice = messages.ConfigNotice(state.local_member.name, event.version)
@@ -71,6 +72,13 @@
             out.append(effects.Send(member.ip, notice))
 
 
+@handlers.apply_event.register
+def _apply_confirmation(event: events.ConfigurationConfirmed, state, now, out):
+    state.freshness.record_proof(
+        state.config_version, event.proven_at, state.boot_now
+    )
+
+
 @handlers.apply_event.register
 def _apply_members(event: events.MembersRead, state, now, out):
     for member in event.members:
@@ -160,6 +168,7 @@
                 if candidate.is_missing_crashes
                 else ()
             ),
+            state.boot_now,
         )
         candidate.is_missing_crashes = False
         candidate.record_heartbeat_sent(now)
@@ -201,7 +210,9 @@
         if message.is_list_wanted
         else ()
     )
-    answer = _make_answer(state, member_rows, departures, crashes)
+    answer = _make_answer(
+        state, member_rows, departures, crashes, message.sent_at
+    )
     if message.name == state.local_member.name:
         _receive_answer(answer, state, "", now, out)
     else:
@@ -213,7 +224,9 @@
         _push_members(state, out)
 
 
-def _make_answer(state, member_rows, departures=(), crashes=()):
+def _make_answer(
+    state, member_rows, departures=(), crashes=(), heartbeat_sent_at=None
+):
     return messages.HeartbeatAnswer(
         state.local_member.name,
         state.local_member.incarnation,
@@ -226,6 +239,8 @@
         departures,
         state.crashes.digest,
         crashes,
+        heartbeat_sent_at,
+        state.freshness.measure_age(state.boot_now),
     )
 
 
@@ -263,6 +278,12 @@
     candidate.leaving = message.leaving
     state.answered_at = now
     state.has_reached_coordinator = True
+    state.freshness.record_answer(
+        message.config_version,
+        message.heartbeat_sent_at,
+        message.config_age,
+        state.boot_now,
+    )
     crash_sharing.merge_crashes(message.crashes, message.name, state, now, out)
     candidate.is_missing_crashes = message.crash_digest != state.crashes.digest
     if message.departures:
--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -3,6 +3,7 @@
 import random
 
 from acaciafield.gateway import crashes
+from acaciafield.gateway import freshness
 from acaciafield.gateway import members
 from acaciafield.gateway import pauses
 from acaciafield.gateway import rosters
@@ -46,11 +47,13 @@
 
     ``entries_by_service`` maps a service to its workers, None while these
     are unknown; ``is_coordinating`` is set while the node coordinates and
-    reads the store. Times are in seconds.
+    reads the store. Times are in seconds, of the event loop's clock except
+    ``boot_now`` and those of ``freshness``, which are of CLOCK_BOOTTIME.
     """
 
     __slots__ = (
         "now",
+        "boot_now",
         "local_member",
         "terms",
         "random",
@@ -74,12 +77,14 @@
         "has_reached_coordinator",
         "next_push_at",
         "config_version",
+        "freshness",
         "is_ready",
         "leaving",
     )
 
     def __init__(self, local_member, terms, seed):
         self.now = 0.0
+        self.boot_now = 0.0
         self.local_member = local_member
         self.terms = terms
         self.random = random.Random(seed)
@@ -103,6 +108,7 @@
         self.has_reached_coordinator = False
         self.next_push_at = 0.0
         self.config_version = 0
+        self.freshness = freshness.ConfigurationAge()
         self.is_ready = False
         self.leaving = False
 
--- a/packages/coordination/acaciafield/gateway/workspaces.py
+++ b/packages/coordination/acaciafield/gateway/workspaces.py
@@ -25,12 +25,15 @@
 
     Keys are kept and looked up as keyed hashes. The time of a look-up then
     tells nothing about the stored keys, and a dump of the table none of them.
+    ``is_readable`` is False if the table of the configuration could not be
+    read, so that no request with a key can be decided on.
     """
 
-    __slots__ = ("by_name", "_by_digest", "_secret")
+    __slots__ = ("by_name", "is_readable", "_by_digest", "_secret")
 
     def __init__(self):
         self.by_name = {}
+        self.is_readable = True
         self._by_digest = {}
         self._secret = os.urandom(KEY_DIGEST_BYTES)
 
--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -11,13 +11,18 @@
 
 Ending = outcomes.Ending
 
+UNAUTHORIZED_STATUS = 401
 DEFAULT_TIMEOUT_S = 30.0  # for a caller that sends no deadline
 
 
 class NoGrant(structs.Struct):
-    """An attempt without a grant; ``retry_after`` is in seconds."""
+    """An attempt without a grant.
 
-    __slots__ = ("reason", "retry_after")
+    ``retry_after`` is in seconds, or None; ``status`` is for the caller.
+    """
+
+    __slots__ = ("reason", "retry_after", "status")
+    DEFAULTS = {"status": 503}
 
 
 class Call:
@@ -25,7 +30,9 @@
 
     ``deadline`` is the time of this process's clock at which the timeout
     of the caller or the route ends, ``caller_deadline`` that of the
-    caller alone. ``sent_at`` is the time at which the last attempt was
+    caller alone. ``key`` is the caller's and ``workspace`` the
+    workspaces.Workspace that holds it, None where the route needs no key.
+    ``sent_at`` is the time at which the last attempt was
     sent, ``hedge_after`` the seconds from then to a hedge, or None.
     ``changed`` is set when an attempt goes to a worker and when the call
     is aborted, as ``is_aborted`` then says.
@@ -41,6 +48,8 @@
         "deadline",
         "caller_deadline",
         "fingerprint",
+        "key",
+        "workspace",
         "retry_state",
         "tried_workers",
         "attempt_count",
@@ -59,6 +68,8 @@
         self.deadline = started + min(time_left, route.timeout)
         self.caller_deadline = started + time_left
         self.fingerprint = fingerprint
+        self.key = None
+        self.workspace = None
         self.retry_state = attempts.RetryState(
             route.idempotent, route.max_attempts
         )
@@ -85,6 +96,11 @@
     if isinstance(last_failure, upstream.AttemptResult) and isinstance(
         result, NoGrant
     ):
+        # 401 tells the caller more than a refusal of a worker that did not
+        # run the request.
+        is_unauthorized = result.status == UNAUTHORIZED_STATUS
+        if is_unauthorized and not may_have_run(last_failure):
+            return result
         return last_failure
     if may_have_run(last_failure) and result.ending is not Ending.FAILED:
         return last_failure
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -17,6 +17,7 @@
 from acaciafield.gateway import members
 from acaciafield.gateway import node_state
 from acaciafield.gateway import planned_stop
+from acaciafield_daemon.gateway import boot_clock
 from acaciafield_daemon.gateway import decision_log
 from acaciafield_daemon.gateway import grant_requests
 from acaciafield_daemon.gateway import listeners
@@ -194,6 +195,7 @@
         return True
 
     async def _read_configuration(self):
+        sent_at = boot_clock.read_boot_clock()
         try:
             changes = await self.store.read_newest(
                 store_reader.Stream.CONFIGURATION
@@ -204,6 +206,7 @@
         for _, value in changes.records:
             if value is not None:
                 self.update_configuration(value)
+        self.confirm_configuration(sent_at)
 
     async def _read_members(self):
         try:
@@ -284,6 +287,17 @@
         """Record that the store answered."""
         self._apply_event(events.StoreAnswered)
 
+    def checks_keys(self):
+        """Return whether the keys of requests are checked."""
+        configuration = self.request_server.configuration
+        return self.options.terms.strict_revocation or (
+            configuration is not None and configuration.workspaces is not None
+        )
+
+    def confirm_configuration(self, proven_at):
+        """Record that this node has all that the store had at a boot time."""
+        self._apply_event(events.ConfigurationConfirmed, proven_at)
+
     def record_store_failure(self):
         """Record that the store did not answer."""
         self._apply_event(events.StoreFailed)
@@ -331,7 +345,10 @@
 
     def _apply_event(self, event_class, *fields):
         event = event_class(self.clock(), *fields)
-        self._run_effects(coordination.reduce_event(self.state, event))
+        boot_now = boot_clock.read_boot_clock()
+        self._run_effects(
+            coordination.reduce_event(self.state, event, boot_now)
+        )
 
     def _receive(self, sender, message):
         self._apply_event(events.MessageReceived, sender, message)
--- a/packages/daemon/acaciafield_daemon/gateway/pages.py
+++ b/packages/daemon/acaciafield_daemon/gateway/pages.py
@@ -3,6 +3,8 @@
 from aiohttp import web
 import orjson
 
+from acaciafield_daemon.gateway import boot_clock
+
 ADDRESS_TTL_S = 2  # how long callers may cache addresses
 MIN_ADDRESSES = 3  # below that, callers get addresses of all zones
 MAX_ADDRESSES = 64  # in one answer to callers
@@ -76,5 +78,8 @@
             "slow_heads_closed": node.caller_server.slow_heads_closed,
             "large_heads_refused": node.caller_server.large_heads_refused,
         }
+        age = node.state.freshness.measure_age(boot_clock.read_boot_clock())
+        if age is not None:
+            gauges["configuration_age_seconds"] = age
         shares = node.state.measure_used_shares(now)
         return node.metrics.format_metrics(gauges, shares).encode()
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -7,6 +7,7 @@
 from acaciafield.gateway import attempts
 from acaciafield.gateway import messages
 from acaciafield import outcomes
+from acaciafield_daemon.gateway import authentication
 from acaciafield_daemon.gateway import bodies
 from acaciafield_daemon.gateway import calls
 from acaciafield_daemon.gateway import responses
@@ -45,6 +46,7 @@
         "active",
         "calls",
         "body_reader",
+        "authenticator",
     )
 
     def __init__(
@@ -62,6 +64,9 @@
         self.calls = set()
         max_body_bytes = int(BODY_MEMORY_SHARE * options.memory_bytes)
         self.body_reader = bodies.BodyReader(max_body_bytes, clock)
+        self.authenticator = authentication.Authenticator(
+            options, grant_requester.state.freshness, log, metrics
+        )
 
     async def handle_request(self, request):
         """Answer a caller's request."""
@@ -115,6 +120,11 @@
                 version=configuration.version,
             )
             return responses.make_error_response(404, request_id, header_names)
+        found = self.authenticator.check_request(request, route, configuration)
+        if isinstance(found, authentication.KeyRefusal):
+            return responses.make_error_response(
+                found.status, request_id, header_names, found.retry_after
+            )
         if not route.split:
             return self._refuse_request(
                 request_id, "route-unreadable", UNREADY_RETRY_AFTER_S
@@ -133,15 +143,15 @@
         if isinstance(body, bodies.BodyRefusal):
             return self._refuse_body(request_id, body.status)
         try:
+            headers = responses.copy_end_to_end_headers(request.headers)
+            self.authenticator.remove_headers(headers)
             outgoing = upstream.OutgoingRequest(
-                request.method,
-                request_target,
-                responses.copy_end_to_end_headers(request.headers),
-                body,
-                request_id,
+                request.method, request_target, headers, body, request_id
             )
             digest = calls.fingerprint(request, body)
             call = calls.Call(outgoing, route, started, time_left, digest)
+            key = self.authenticator.read_key(request)
+            self.authenticator.assign_workspace(call, key, found)
             return await self._serve_call(call, request)
         finally:
             self.body_reader.release(body)
@@ -268,6 +278,12 @@
         if not self._may_send(call.caller_deadline):
             self.grant_requester.withdraw_request(grant_request)
             return self._refuse_to_send(call, number)
+        refusal = self.authenticator.check_call(call, self.configuration)
+        if refusal is not None:
+            self.grant_requester.withdraw_request(grant_request)
+            return calls.NoGrant(
+                refusal.reason, refusal.retry_after, refusal.status
+            )
         return await self._send_attempt(call, grant_request, answer)
 
     def _refuse_to_send(self, call, number):
@@ -298,6 +314,8 @@
             call.retry_state.is_last(number),
             list(call.tried_workers),
             call.fingerprint,
+            call.workspace.name if call.workspace else "",
+            call.workspace.priority if call.workspace else None,
         )
 
     async def _send_attempt(self, call, grant_request, grant):
@@ -412,12 +430,13 @@
                 ),
                 body=last_failure.body,
             )
-        retry_after = OVERLOAD_RETRY_AFTER_S
+        status, retry_after = 503, OVERLOAD_RETRY_AFTER_S
         if isinstance(last_failure, calls.NoGrant):
+            status = last_failure.status
             retry_after = last_failure.retry_after
-        self._record_end(call, "refused", 503)
+        self._record_end(call, "refused", status)
         return responses.make_error_response(
-            503, request_id, header_names, retry_after
+            status, request_id, header_names, retry_after
         )
 
     def _refuse_request(self, request_id, reason, retry_after):
--- a/packages/daemon/acaciafield_daemon/gateway/responses.py
+++ b/packages/daemon/acaciafield_daemon/gateway/responses.py
@@ -8,6 +8,7 @@
 import multidict
 
 from acaciafield import outcomes
+from acaciafield_daemon.gateway import calls
 from acaciafield_daemon.gateway import upstream
 
 MAX_UNSTREAMED_BYTES = 65536  # a larger answer is streamed
@@ -31,6 +32,8 @@
         headers[header_names.request_id] = request_id
     if retry_after is not None:
         headers[hdrs.RETRY_AFTER] = "%.2f" % retry_after
+    if status == calls.UNAUTHORIZED_STATUS:
+        headers[hdrs.WWW_AUTHENTICATE] = header_names.key
     return web.Response(status=status, headers=headers, text="")
 
 
--- a/packages/daemon/acaciafield_daemon/gateway/store_reader.py
+++ b/packages/daemon/acaciafield_daemon/gateway/store_reader.py
@@ -5,10 +5,13 @@
 import enum
 
 from acaciafield import structs
+from acaciafield_daemon.gateway import boot_clock
 
 WORKER_READ_PERIOD_S = 0.6  # between reads of changes to workers
 SOLE_MEMBER_READ_PERIOD_S = 1.0  # for a node that coordinates for itself only
 CONFIG_READ_WAIT_S = 2.0  # after which a read without changes is answered
+# The same where keys are checked, which needs a recent configuration.
+KEYED_CONFIG_READ_WAIT_S = 1.0
 RETRY_PAUSE_S = 0.25  # after a failed read
 MAX_RETRY_PAUSE_S = 0.5  # the pause doubles up to this value
 OUTAGE_PAUSE_S = 1.0  # extra, while reads of the workers fail as well
@@ -193,6 +196,7 @@
     """The tasks with which a coordinator reads the store.
 
     ``hooks`` receives the records and the state of the store.
+    ``boot_clock`` returns the time of CLOCK_BOOTTIME in seconds.
     """
 
     __slots__ = (
@@ -200,17 +204,21 @@
         "clock",
         "log",
         "hooks",
+        "boot_clock",
         "_tasks",
         "_failing_since",
         "_store_recovered",
         "_logged_keys",
     )
 
-    def __init__(self, store, clock, log, hooks):
+    def __init__(
+        self, store, clock, log, hooks, boot_clock=boot_clock.read_boot_clock
+    ):
         self.store = store
         self.clock = clock
         self.log = log
         self.hooks = hooks
+        self.boot_clock = boot_clock
         self._tasks = []
         self._failing_since = {}
         self._store_recovered = asyncio.Event()
@@ -304,7 +312,13 @@
         reader = StreamReader(self.store, Stream.CONFIGURATION)
         pause = RETRY_PAUSE_S
         while True:
-            read = await self._read_stream(reader, CONFIG_READ_WAIT_S)
+            wait = (
+                KEYED_CONFIG_READ_WAIT_S
+                if self.hooks.checks_keys()
+                else CONFIG_READ_WAIT_S
+            )
+            sent_at, offset = self.boot_clock(), reader.offset
+            read = await self._read_stream(reader, wait)
             if read is None:
                 await self._wait_for_store(pause)
                 pause = min(MAX_RETRY_PAUSE_S, 2 * pause)
@@ -313,6 +327,12 @@
             for _, value in read[0].records:
                 if value is not None:
                     self.hooks.update_configuration(value)
+            is_unchanged = not read[1] and reader.offset == offset
+            if is_unchanged and self.boot_clock() >= sent_at + wait:
+                # The store had no change for all the time that it waited.
+                self.hooks.confirm_configuration(sent_at + wait)
+            else:
+                self.hooks.confirm_configuration(sent_at)
 
     async def _wait_for_store(self, pause):
         """Wait ``pause`` seconds; in an outage, also for the workers' reader.
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -205,10 +205,18 @@
     def __init__(self, sole_member=False):
         self.sole_member = sole_member
         self.lists = []
+        self.is_keyed = False
+        self.proofs = []
 
     def is_sole_member(self):
         return self.sole_member
 
+    def checks_keys(self):
+        return self.is_keyed
+
+    def confirm_configuration(self, proven_at):
+        self.proofs.append(proven_at)
+
     def record_store_answer(self):
         pass
 
