--- a/packages/daemon/acaciafield_daemon/gateway/store_reader.py
+++ b/packages/daemon/acaciafield_daemon/gateway/store_reader.py
@@ -311,12 +311,9 @@
     async def _follow_configuration(self):
         reader = StreamReader(self.store, Stream.CONFIGURATION)
         pause = RETRY_PAUSE_S
+        is_proof_recent = True
         while True:
-            wait = (
-                KEYED_CONFIG_READ_WAIT_S
-                if self.hooks.checks_keys()
-                else CONFIG_READ_WAIT_S
-            )
+            wait = self._choose_configuration_wait(is_proof_recent)
             sent_at, offset = self.boot_clock(), reader.offset
             read = await self._read_stream(reader, wait)
             if read is None:
@@ -328,11 +325,23 @@
                 if value is not None:
                     self.hooks.update_configuration(value)
             is_unchanged = not read[1] and reader.offset == offset
+            proven_at = sent_at
             if is_unchanged and self.boot_clock() >= sent_at + wait:
                 # The store had no change for all the time that it waited.
-                self.hooks.confirm_configuration(sent_at + wait)
-            else:
-                self.hooks.confirm_configuration(sent_at)
+                proven_at = sent_at + wait
+            self.hooks.confirm_configuration(proven_at)
+            is_proof_recent = read[1] or proven_at == sent_at + wait
+
+    def _choose_configuration_wait(self, is_proof_recent):
+        """Return how long the next read may wait for a change, in seconds.
+
+        If the answer to a read that waited has a change, it proves only the
+        time at which the read was sent. Where keys are checked, the next read
+        then does not wait, as the age would grow to twice the waiting time.
+        """
+        if not self.hooks.checks_keys():
+            return CONFIG_READ_WAIT_S
+        return KEYED_CONFIG_READ_WAIT_S if is_proof_recent else 0.0
 
     async def _wait_for_store(self, pause):
         """Wait ``pause`` seconds; in an outage, also for the workers' reader.
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -178,9 +178,17 @@
 
     def feed(self, state, event):
         """Feed an event to a node and carry out its effects."""
-        for effect in coordination.reduce_event(state, event):
+        boot_now = self.read_boot_clock(state)
+        for effect in coordination.reduce_event(state, event, boot_now):
             apply_effect(effect, self, state)
 
+    def read_boot_clock(self, state):
+        """Return the time of a host's boot clock; a hook for subclasses."""
+        return self.now
+
+    def fetch_configuration(self, state, ip):
+        """Fetch a node's configuration; a hook for subclasses."""
+
     def deliver(self, sender, ip, message):
         """Send a message to the node at ``ip``."""
         if {sender, ip} & self._cut:
@@ -255,6 +263,11 @@
     fleet.persist_crashes(state, effect.rows)
 
 
+@apply_effect.register
+def _fetch_configuration(effect: effects.FetchConfiguration, fleet, state):
+    fleet.fetch_configuration(state, effect.ip)
+
+
 @apply_effect.register
 def _fetch_workers(effect: effects.FetchWorkers, fleet, state):
     fleet.fetch_workers(state, effect.ip)
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -339,3 +339,83 @@
     _, log = read_unreadable(decode)
     assert len(calls) > 1
     assert "reader-failed" in [kind for kind, _ in log.lines]
+
+
+class WaitingStore(CountingStore):
+    """A store whose reads of the configuration take set times.
+
+    ``answers`` has the seconds until each answer and the number of records
+    in it; ``waits`` gets the seconds for which each read would wait.
+    """
+
+    def __init__(self, clock, answers):
+        super().__init__()
+        self.clock = clock
+        self.answers = list(answers)
+        self.waits = []
+
+    async def read_changes(self, stream, offset, wait):
+        if stream is not store_reader.Stream.CONFIGURATION:
+            return store_reader.StreamChanges([], offset)
+        if not self.answers:
+            await asyncio.sleep(30.0)
+        self.waits.append(wait)
+        seconds, count = self.answers.pop(0)
+        self.clock.now += seconds
+        return store_reader.StreamChanges([], offset + count)
+
+
+class ManualClock:
+    """A clock that moves only when it is told to."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def read(self):
+        """Return the time in seconds."""
+        return self.now
+
+
+def read_proofs(answers, is_keyed=True):
+    """Return the proofs after the first read, and the waits of the reads."""
+    clock = ManualClock()
+    store = WaitingStore(clock, answers)
+    hooks = Hooks()
+    hooks.is_keyed = is_keyed
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        reader = store_reader.StoreReader(
+            store, loop.time, RecordingLog(), hooks, clock.read
+        )
+        reader.set_active(True)
+        while len(hooks.proofs) <= len(answers):
+            await asyncio.sleep(0.01)
+        reader.set_active(False)
+
+    asyncio.run(asyncio.wait_for(run(), 5.0))
+    assert hooks.proofs[0] == 100.0
+    return hooks.proofs[1:], store.waits
+
+
+def test_empty_answer_proves_the_end_of_the_wait():
+    proofs, waits = read_proofs([(1.05, 0), (1.0, 0)])
+    assert waits == [1.0, 1.0]
+    assert proofs == [101.0, 102.05]
+
+
+def test_empty_answer_before_the_end_of_the_wait_proves_its_start():
+    # Guards against a store that does not wait, or answers too early.
+    proofs, _ = read_proofs([(0.4, 0)])
+    assert proofs == [100.0]
+
+
+def test_answer_with_a_change_proves_its_start_and_the_next_does_not_wait():
+    proofs, waits = read_proofs([(1.05, 1), (0.01, 0), (1.01, 0)])
+    assert waits == [1.0, 0.0, 1.0]
+    assert proofs == [100.0, 101.05, pytest.approx(102.06)]
+
+
+def test_reads_wait_as_before_where_no_keys_are_checked():
+    _, waits = read_proofs([(2.01, 0), (1.0, 1), (2.01, 0)], is_keyed=False)
+    assert waits == [store_reader.CONFIG_READ_WAIT_S] * 3
