Send other nodes hashes in place of the workspaces' keys

A node that starts takes the configuration from another node, and that document had the keys of all workspaces in clear text. It now has their hashes and the key of the hash; a node that adopts it looks keys up by the same hash. Without workspaces the document is the same as before.

A test runs a second node without the store over real sockets: it serves by the proofs of its coordinator, refuses a removed key, and refuses all keys 2.5 s (the bound of that test) after the coordinator lost the store.

--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -332,7 +332,7 @@
         self.request_server.configuration = configuration
         self.caller_server.limits = configuration.limits
         self.state.is_ready = True
-        self.raw_configuration = raw
+        self.raw_configuration = self.store.hide_keys(raw, configuration)
         self.log.write(
             "configuration",
             version=configuration.version,
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -1,14 +1,20 @@
 """Keys of workspaces: what one node answers and what a worker receives."""
 
 import asyncio
+import contextlib
+import os
 
+import aiohttp
 from aiohttp import web
 import eliot
 import multidict
 import pytest
 
 from acaciafield.gateway import messages
+from acaciafield_daemon.gateway import node as gateway_node
 from acaciafield_daemon.gateway import store_reader
+from acaciafield_platform import store as stores
+from standins import store as stand_in
 from tests import gateway_support as support
 from tests import test_gateway_node
 from tests import test_platform
@@ -76,8 +82,8 @@
     )
     for name, value in headers:
         fields.add(name, value)
-    port = harness.node.options.caller_port
-    url = "http://127.0.0.1:%d%s" % (port, path)
+    options = harness.node.options
+    url = "http://%s:%d%s" % (options.ip, options.caller_port, path)
     async with harness.session.get(url, headers=fields) as response:
         await response.read()
         return response
@@ -410,6 +416,69 @@
     run_steps(steps, document, terms)
 
 
+@contextlib.asynccontextmanager
+async def open_second_node(harness, terms):
+    """Run a node that does not reach the store; yield its NodeHarness."""
+    first = harness.node.options
+    names = [name for name in first.__slots__ if name.endswith("_port")]
+    options = test_gateway_node.make_options(
+        name="n2",
+        ip="127.0.0.2",
+        seed_ips=[first.ip],
+        terms=terms,
+        grace=GRACE_S,
+        **{name: getattr(first, name) for name in names},
+    )
+    server = stand_in.StoreServer()
+    server.fault = "busy"
+    async with server.open():
+        node = gateway_node.GatewayNode(
+            options, stores.Store(server.address), None
+        )
+        node.log.descriptor = os.open(os.devnull, os.O_WRONLY)
+        task = asyncio.ensure_future(node.run())
+        second = test_gateway_node.NodeHarness(
+            node, server, harness.workers, harness.session
+        )
+        try:
+            yield second
+        finally:
+            node.stopping.set()
+            await task
+            os.close(node.log.descriptor)
+
+
+async def wait_for_status(harness, key, status):
+    """Repeat a request with a key until it gets a status."""
+    found = None
+    while found != status:
+        with contextlib.suppress(aiohttp.ClientError):
+            found = (await call(harness, (KEY, key))).status
+        await asyncio.sleep(0.02)
+
+
+def test_node_without_the_store_learns_the_age_from_its_coordinator():
+    terms = workspace_support.make_strict_terms(revoke_bound=2.5)
+
+    async def steps(harness):
+        async with open_second_node(harness, terms) as second:
+            await wait_for_status(second, "key-small", 200)
+            assert harness.received[-1].getall(TENANT) == ["w-small"]
+            assert b"key-" not in second.node.raw_configuration
+            await wait_for_status(second, "key-other", 401)
+            harness.server.put("keyed.op", "config", remove_small(8))
+            await wait_for_status(second, "key-small", 401)
+            await wait_for_status(second, "key-large", 200)
+            harness.server.fault = "busy"
+            await wait_for_status(second, "key-large", 503)
+            line = find_refusals(harness)[-1]
+            assert line["node"] == "n2" and line["age"] >= 2.5
+            harness.server.fault = None
+            await wait_for_status(second, "key-large", 200)
+
+    run_steps(steps, terms=terms)
+
+
 def test_reads_are_shorter_where_keys_are_checked():
     assert store_reader.KEYED_CONFIG_READ_WAIT_S < 0.5 * STRICT.config_bound
 
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -1,5 +1,6 @@
 """Decoding of workspaces, their keys and the routes that need none."""
 
+import orjson
 import pytest
 
 from acaciafield_platform import documents
@@ -147,6 +148,47 @@
     assert len(found.findings) == finding_count
 
 
+@pytest.mark.parametrize(
+    "tenants",
+    [None, "key-secret", {"columns": ["name"], "rows": [["key-secret"]]}],
+)
+def test_record_for_other_nodes_has_no_keys(tenants):
+    document = workspace_support.make_document(
+        tenants=tenants, skip_auth={"r1": True}
+    )
+    raw = orjson.dumps(document)
+    for _ in range(2):
+        found = documents.decode_configuration(raw)
+        raw = documents.hide_keys(raw, found)
+        assert b"key-" not in raw
+    hidden = documents.decode_configuration(raw)
+    assert (hidden.version, hidden.routes) == (found.version, found.routes)
+    assert hidden.workspaces.is_readable is (tenants is None)
+    if tenants is None:
+        large = hidden.workspaces.find("key-large-2")
+        assert large == found.workspaces.find("key-large-2")
+        assert hidden.workspaces.find("key-small").name == "w-small"
+        assert hidden.workspaces.find("key-other") is None
+        digest = hidden.workspaces.list_digests("w-small")[0].hex()
+        assert hidden.workspaces.find(digest) is None
+
+
+def test_record_without_workspaces_stays_the_same_for_other_nodes():
+    raw = orjson.dumps(test_platform.CONFIGURATION)
+    found = documents.decode_configuration(raw)
+    assert documents.hide_keys(raw, found) is raw
+
+
+@pytest.mark.parametrize(
+    "hash_key", ["zz", 7, "", "00" * 15, "00" * 16, "00" * 65]
+)
+def test_invalid_hash_or_hash_key_does_not_open_the_routes(hash_key):
+    document = workspace_support.make_document()
+    document[documents.HASH_KEY_FIELD] = hash_key
+    found = workspace_support.decode(document)
+    assert not found.workspaces.is_readable
+
+
 def test_decoding_needs_no_column_for_routes_without_keys():
     found = documents.decode_configuration(
         b'{"version":1,"routes":[{"name":"r","hostname":"h","pathPrefix":"/",'
