--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -4,6 +4,7 @@
 
 from acaciafield.gateway import crashes
 from acaciafield.gateway import evidence_batches
+from acaciafield.gateway import freshness
 from acaciafield.gateway import members
 from acaciafield.gateway import pauses
 from acaciafield.gateway import rosters
@@ -57,11 +58,14 @@
     ``entries_by_service`` maps a service to its workers, None while these
     are unknown; ``is_coordinating`` is set while the node coordinates and
     reads the store; ``announced_version`` is an AnnouncedVersion that is not
-    fetched yet, or None. Times are in seconds.
+    fetched yet, or None. Times are in seconds, of the event loop's clock
+    except ``boot_now`` and those of ``freshness``, which are of
+    CLOCK_BOOTTIME.
     """
 
     __slots__ = (
         "now",
+        "boot_now",
         "local_member",
         "terms",
         "random",
@@ -87,12 +91,14 @@
         "next_push_at",
         "config_version",
         "announced_version",
+        "freshness",
         "is_ready",
         "leaving",
     )
 
     def __init__(self, local_member, terms, seed):
         self.now = 0.0
+        self.boot_now = 0.0
         self.local_member = local_member
         self.terms = terms
         self.random = random.Random(seed)
@@ -118,6 +124,7 @@
         self.next_push_at = 0.0
         self.config_version = 0
         self.announced_version = None
+        self.freshness = freshness.ConfigurationAge()
         self.is_ready = False
         self.leaving = False
 
