Read the store again in full after it was restored

Cause: a store that returns from an older copy issues offsets again. Once the new records pass the old end, an incremental read skips those before it: a worker removed meanwhile stayed in use, and a route that moved stayed where it was.

The client reads Store-Era from every answer, also from writes and failing statuses. A reader whose answer has another era drops its records and reads the newest record of each key. The table of workers keeps known entries for 3 s in which live workers write again; one that does not is removed, also if the copy lists it, unless most of the listed workers did not write.

--- a/packages/coordination/acaciafield/gateway/crash_sharing.py
+++ b/packages/coordination/acaciafield/gateway/crash_sharing.py
@@ -22,17 +22,32 @@
 
 
 def persist_crashes(state, now, out):
-    """Persist the crash records whenever the quarantined requests change."""
-    if now < state.next_persist_at or not _is_persisting_node(state, now):
+    """Persist the crash records whenever the quarantined requests change.
+
+    A node that persisted some writes them again to a restored store, also
+    if another node persists them now and if none is quarantined any more.
+    """
+    if now < state.next_persist_at:
         return
     quarantined = _list_quarantined_counts(state, now)
-    if not quarantined or quarantined == state.persisted_counts:
-        return
+    if not state.is_crash_rewrite_due:
+        if not _is_persisting_node(state, now):
+            return
+        if not quarantined or quarantined == state.persisted_counts:
+            return
+    state.is_crash_rewrite_due = False
     state.persisted_counts = quarantined
+    state.has_written_crashes = True
     out.append(effects.PersistCrashes(state.crashes.list_rows(now)))
     out.append(effects.LogDecision("crashes-kept", {"held": quarantined}))
 
 
+def request_rewrite(state):
+    """Persist the crash records again, as the store was restored."""
+    state.persisted_counts = []
+    state.is_crash_rewrite_due = state.has_written_crashes
+
+
 def _list_quarantined_counts(state, now):
     """Return each quarantined fingerprint with its crash count."""
     return [
@@ -103,5 +118,5 @@
 def _apply_crash_write_failure(
     event: events.CrashWriteFailed, state, now, out
 ):
-    state.persisted_counts = []
+    request_rewrite(state)
     state.next_persist_at = now + PERSIST_RETRY_S
--- a/packages/coordination/acaciafield/gateway/effects.py
+++ b/packages/coordination/acaciafield/gateway/effects.py
@@ -39,6 +39,12 @@
     __slots__ = ("rows",)
 
 
+class WriteMember(structs.Struct):
+    """Write this node's member record to the platform's store again."""
+
+    __slots__ = ()
+
+
 class LogDecision(structs.Struct):
     """Log a decision; ``fields`` is a dictionary."""
 
--- a/packages/coordination/acaciafield/gateway/events.py
+++ b/packages/coordination/acaciafield/gateway/events.py
@@ -81,6 +81,30 @@
     __slots__ = ("now",)
 
 
+class MemberWriteFailed(structs.Struct):
+    """The platform's store failed to take this node's member record again."""
+
+    __slots__ = ("now",)
+
+
+class RecordWritten(structs.Struct):
+    """The store took a record of this node in an era, 0 if unknown."""
+
+    __slots__ = ("now", "era")
+
+
+class StoreEraRead(structs.Struct):
+    """An answer of the store reported its era."""
+
+    __slots__ = ("now", "era")
+
+
+class OffsetRefused(structs.Struct):
+    """The store does not have an offset up to which this node has read."""
+
+    __slots__ = ("now",)
+
+
 class StopRequested(structs.Struct):
     """The node is requested to leave."""
 
--- a/packages/coordination/acaciafield/gateway/heartbeats.py
+++ b/packages/coordination/acaciafield/gateway/heartbeats.py
@@ -11,6 +11,7 @@
 from acaciafield.gateway import members
 from acaciafield.gateway import messages
 from acaciafield.gateway import node_state
+from acaciafield.gateway import store_eras
 
 COORDINATION_TIME_S = 3.0  # since the last heartbeat or request
 PUSH_PERIOD_S = 0.5  # minimum between unsolicited lists of members
@@ -198,7 +199,7 @@
     # Each node gets the departures from the coordinator of its own zone.
     departures = (
         state.roster.list_recent_departures(now)
-        if message.is_list_wanted
+        if message.is_list_wanted or now < state.share_departures_until
         else ()
     )
     answer = _make_answer(state, member_rows, departures, crashes)
@@ -226,6 +227,7 @@
         departures,
         state.crashes.digest,
         crashes,
+        store_era=state.store_era or 0,
     )
 
 
@@ -263,6 +265,10 @@
     candidate.leaving = message.leaving
     state.answered_at = now
     state.has_reached_coordinator = True
+    if message.store_era:
+        store_eras.observe_era(
+            state, message.store_era, message.name, now, out
+        )
     crash_sharing.merge_crashes(message.crashes, message.name, state, now, out)
     candidate.is_missing_crashes = message.crash_digest != state.crashes.digest
     if message.departures:
--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -46,7 +46,10 @@
 
     ``entries_by_service`` maps a service to its workers, None while these
     are unknown; ``is_coordinating`` is set while the node coordinates and
-    reads the store. Times are in seconds.
+    reads the store. ``store_era`` is the highest era of the store that is
+    known, None before its first answer. ``has_written_crashes`` is set once
+    this node persisted crash records, ``is_crash_rewrite_due`` while it
+    must write them again. Times are in seconds.
     """
 
     __slots__ = (
@@ -64,6 +67,10 @@
         "pauses",
         "persisted_counts",
         "next_persist_at",
+        "has_written_crashes",
+        "is_crash_rewrite_due",
+        "store_era",
+        "share_departures_until",
         "coordinating_until",
         "is_coordinating",
         "has_fetched_workers",
@@ -93,6 +100,10 @@
         self.pauses = pauses.Pauses()
         self.persisted_counts = []
         self.next_persist_at = 0.0
+        self.has_written_crashes = False
+        self.is_crash_rewrite_due = False
+        self.store_era = None
+        self.share_departures_until = 0.0
         self.coordinating_until = 0.0
         self.is_coordinating = False
         self.has_fetched_workers = False
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -49,6 +49,7 @@
         loop = asyncio.get_running_loop()
         self.options = options
         self.store = store
+        store.observe_era = self._record_store_era
         self.read_options = read_options
         self.clock = loop.time
         self.loop = loop
@@ -187,12 +188,18 @@
 
     async def _write_member(self):
         try:
-            await self.store.write_member(self.state.local_member)
+            era = await self.store.write_member(self.state.local_member)
         except store_reader.StoreError as error:
             self.log.write("dependency", part="store", lost=str(error))
             return False
+        self._apply_event(events.RecordWritten, era)
         return True
 
+    async def rewrite_member(self):
+        """Write the member record to a store that was restored."""
+        if not await self._write_member():
+            self._apply_event(events.MemberWriteFailed)
+
     async def _read_configuration(self):
         try:
             changes = await self.store.read_newest(
@@ -229,10 +236,12 @@
         """Persist crash records in the platform's store."""
         try:
             name = self.options.name
-            await self.store.write_crashes(name, rows, time.time())
+            era = await self.store.write_crashes(name, rows, time.time())
         except store_reader.StoreError as error:
             self.log.write("dependency", part="store", lost=str(error))
             self._apply_event(events.CrashWriteFailed)
+        else:
+            self._apply_event(events.RecordWritten, era)
 
     async def _read_seeds(self):
         for ip in self.options.seed_ips:
@@ -288,6 +297,14 @@
         """Record that the store did not answer."""
         self._apply_event(events.StoreFailed)
 
+    def record_refused_offset(self):
+        """Record that the store refused an offset."""
+        self._apply_event(events.OffsetRefused)
+
+    def _record_store_era(self, era):
+        if era != self.state.store_era:
+            self._apply_event(events.StoreEraRead, era)
+
     def update_workers(self, found, departures, changed):
         """Replace the list of workers; ``departures`` has rows of rosters."""
         if changed:
@@ -483,6 +500,11 @@
     node.store_reader.set_active(effect.active)
 
 
+@apply_effect.register
+def _write_member(effect: effects.WriteMember, node):
+    node.start_call(node.rewrite_member())
+
+
 @apply_effect.register
 def _persist_crashes(effect: effects.PersistCrashes, node):
     node.start_call(node.persist_crashes(effect.rows))
--- a/packages/daemon/acaciafield_daemon/gateway/pages.py
+++ b/packages/daemon/acaciafield_daemon/gateway/pages.py
@@ -69,6 +69,7 @@
             "paused_workers": node.state.pauses.count_paused(now),
             "quarantined": len(node.state.crashes.list_quarantined(now)),
             "store_age_seconds": node.state.get_store_age(now) or 0,
+            "store_era": node.state.store_era or 0,
             "unreadable_messages": node.peers.unreadable,
             "log_lines_dropped": node.log.dropped,
             "held_body_bytes": node.request_server.body_reader.held_bytes,
--- a/packages/daemon/acaciafield_daemon/gateway/store_reader.py
+++ b/packages/daemon/acaciafield_daemon/gateway/store_reader.py
@@ -22,6 +22,13 @@
 # If more than this share of the entries is missing at once, they expired in
 # an outage.
 MASS_EXPIRY_SHARE = 0.34
+# In which live workers write their entries to a restored store. They need
+# about 2 s; the rest covers the period between two reads.
+REWRITE_TIME_S = 3.0
+# A listed entry that was not written to a restored store is removed only if
+# it is among at most this share of the entries, so that workers which write
+# only what is missing are not removed all at once.
+MAX_UNWRITTEN_SHARE = 0.5
 
 
 class Stream(enum.Enum):
@@ -36,12 +43,27 @@
     """Records that were read, as (key, value); None deletes the key.
 
     ``next_offset`` is the one from which to continue. ``is_truncated`` is
-    set where the store deleted records before they were read; the reader
-    must then read the newest record of each key.
+    set where the store does not have the offset; the reader must then read
+    the newest record of each key. ``is_end_before_offset`` is also set if
+    the log is known to be shorter. ``era`` is that of the answer, 0 without
+    one; ``is_restored`` is set by the reader if records that it read
+    earlier may have been lost.
     """
 
-    __slots__ = ("records", "next_offset", "is_truncated")
-    DEFAULTS = {"is_truncated": False}
+    __slots__ = (
+        "records",
+        "next_offset",
+        "is_truncated",
+        "is_end_before_offset",
+        "era",
+        "is_restored",
+    )
+    DEFAULTS = {
+        "is_truncated": False,
+        "is_end_before_offset": False,
+        "era": 0,
+        "is_restored": False,
+    }
 
 
 class StoreError(Exception):
@@ -49,32 +71,61 @@
 
 
 class StreamReader:
-    """Reads one stream of the store incrementally."""
+    """Reads one stream of the store incrementally.
+
+    ``offset`` is valid only in the store's ``era``. ``has_lost_records`` is
+    set from the time at which a restore is found until the stream was read
+    in full, as that read may fail. ``refused_count`` counts the offsets
+    that the store did not have.
+    """
 
-    __slots__ = ("store", "stream", "offset")
+    __slots__ = (
+        "store",
+        "stream",
+        "offset",
+        "era",
+        "has_lost_records",
+        "refused_count",
+    )
 
     def __init__(self, store, stream):
         self.store = store
         self.stream = stream
         self.offset = None
+        self.era = None
+        self.has_lost_records = False
+        self.refused_count = 0
 
     async def read(self, wait):
         """Return (changes, is_snapshot) since the last read.
 
-        A snapshot replaces all known records. Without changes, the store
-        answers after ``wait`` seconds. Raises StoreError.
+        A snapshot replaces all known records; it is read again where the
+        era of an answer differs, as the records in that answer do not
+        follow the known ones. Without changes, the store answers after
+        ``wait`` seconds. Raises StoreError.
         """
         if self.offset is None:
-            changes = await self.store.read_newest(self.stream)
-            self.offset = changes.next_offset
-            return changes, True
+            return await self._read_newest(), True
         changes = await self.store.read_changes(self.stream, self.offset, wait)
-        if changes.is_truncated:
+        if changes.is_truncated or changes.era != self.era:
+            self.refused_count += changes.is_truncated
+            self.has_lost_records |= changes.is_end_before_offset
+            self.has_lost_records |= changes.era > self.era
             self.offset = None
-            return await self.read(wait)
+            return await self._read_newest(), True
         self.offset = changes.next_offset
         return changes, False
 
+    async def _read_newest(self):
+        changes = await self.store.read_newest(self.stream)
+        changes.is_restored = self.has_lost_records
+        if self.era is not None and changes.era > self.era:
+            changes.is_restored = True
+        self.has_lost_records = False
+        self.offset = changes.next_offset
+        self.era = changes.era
+        return changes
+
 
 class WorkerTable:
     """The workers as the store lists them.
@@ -85,6 +136,11 @@
     mean that these workers have left. Records may arrive late, so the
     table ignores versions older than the newest one of a worker.
 
+    A store that was restored from an older copy may list workers that have
+    left, and lack live ones, until these write their entries again.
+    ``unwritten`` maps each worker that has not done so to whether the copy
+    lists it; the time for it ends at ``rewritten_by``.
+
     ``absent`` maps a missing worker whose entry is retained to the time
     at which it is removed, ``removed`` a removed worker to its last version.
     ``unreported`` has the departures since the last take_departures().
@@ -95,8 +151,10 @@
         "absent",
         "removed",
         "unreported",
+        "unwritten",
         "answered_at",
         "settled_at",
+        "rewritten_by",
     )
 
     def __init__(self):
@@ -104,8 +162,10 @@
         self.absent = {}
         self.removed = {}
         self.unreported = []
+        self.unwritten = {}
         self.answered_at = None
         self.settled_at = 0.0
+        self.rewritten_by = 0.0
 
     def record_answer(self, now):
         """Record that the store answered at ``now`` seconds."""
@@ -114,8 +174,32 @@
             and now - self.answered_at > OUTAGE_AFTER_S
         ):
             self.settled_at = now + SETTLE_TIME_S
+            # Workers could not write either while the store was down.
+            if self.unwritten:
+                self.rewritten_by = now + REWRITE_TIME_S
         self.answered_at = now
 
+    def apply_restored(self, entries, now):
+        """Apply the entries of a store that was restored from a copy.
+
+        Known entries stay until their workers had the time to write them
+        again. Return whether the list changed, apart from sequences.
+        """
+        before = {w: entry.version for w, entry in self.entries.items()}
+        self.absent.clear()
+        changed = False
+        for worker_id, entry in entries:
+            changed |= self._put_entry(worker_id, entry)
+        listed = dict(entries)
+        self.unwritten = {}
+        for worker_id, version in before.items():
+            if worker_id not in listed:
+                self.unwritten[worker_id] = False
+            elif listed[worker_id].version <= version:
+                self.unwritten[worker_id] = True
+        self.rewritten_by = now + REWRITE_TIME_S
+        return changed
+
     def apply(self, entries, is_snapshot, now):
         """Apply (worker id, WorkerEntry or None) pairs in their order.
 
@@ -126,7 +210,12 @@
         newest = dict(entries)
         missing_ids = [w for w, entry in newest.items() if entry is None]
         if is_snapshot:
-            missing_ids += [w for w in self.entries if w not in newest]
+            missing_ids += [
+                w
+                for w in self.entries
+                if w not in newest and w not in self.unwritten
+            ]
+        self._record_rewritten(entries, is_snapshot)
         retained_ids = self._select_retained(missing_ids, now)
         changed = False
         for worker_id, entry in entries:
@@ -159,10 +248,37 @@
     def remove_expired(self, now):
         """Remove entries not written again in time; return whether any."""
         expired_ids = [w for w, until in self.absent.items() if now >= until]
+        if self.unwritten and now >= self.rewritten_by:
+            expired_ids += self._list_unwritten()
+            self.unwritten = {}
         for worker_id in expired_ids:
             self._remove_entry(worker_id)
         return bool(expired_ids)
 
+    def _record_rewritten(self, entries, is_snapshot):
+        """Record which workers wrote their entries to a restored store.
+
+        A snapshot may still contain an entry from the copy.
+        """
+        for worker_id, entry in entries:
+            is_listed = self.unwritten.get(worker_id)
+            if entry is None or is_listed is None:
+                continue
+            known = self.entries[worker_id]
+            is_same = entry.version == known.version
+            if is_same and is_listed and is_snapshot:
+                continue
+            if entry.version >= known.version:
+                del self.unwritten[worker_id]
+
+    def _list_unwritten(self):
+        """Return the workers that did not write to a restored store."""
+        listed = [w for w, is_listed in self.unwritten.items() if is_listed]
+        gone = [w for w, is_listed in self.unwritten.items() if not is_listed]
+        if len(listed) <= MAX_UNWRITTEN_SHARE * len(self.entries):
+            gone += listed
+        return gone
+
     def _put_entry(self, worker_id, entry):
         known = self.entries.get(worker_id)
         if entry.version <= self.removed.get(worker_id, NO_VERSION):
@@ -179,6 +295,7 @@
 
     def _remove_entry(self, worker_id):
         self.absent.pop(worker_id, None)
+        self.unwritten.pop(worker_id, None)
         entry = self.entries.pop(worker_id, None)
         if entry is None:
             return False
@@ -282,7 +399,10 @@
             rows = self._decode_workers(changes.records)
             if is_snapshot:
                 rows = [row for row in rows if row[1] is not None]
-            changed = table.apply(rows, is_snapshot, now)
+            if changes.is_restored:
+                changed = table.apply_restored(rows, now)
+            else:
+                changed = table.apply(rows, is_snapshot, now)
             changed |= table.remove_expired(now)
             self.hooks.record_store_answer()
             # Rows that change only the sequence matter too, as the sequence
@@ -330,6 +450,7 @@
 
     async def _read_stream(self, reader, wait):
         name = reader.stream.value
+        refused_count = reader.refused_count
         try:
             read = await reader.read(wait)
         except StoreError as error:
@@ -340,6 +461,9 @@
                     "dependency", part="store", stream=name, lost=str(error)
                 )
             return None
+        finally:
+            if reader.refused_count > refused_count:
+                self.hooks.record_refused_offset()
         failing_since = self._failing_since.pop(name, None)
         if failing_since is not None:
             if reader.stream is Stream.WORKERS:
--- a/standins/store.py
+++ b/standins/store.py
@@ -5,36 +5,61 @@
 
 import asyncio
 import base64
+import bisect
 import contextlib
 import struct
+import time
 
 from aiohttp import web
 import orjson
 
+ERA_HEADER = "Store-Era"
 READ_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 
 
 class Topic:
-    """One topic; ``first_offset`` is that of the oldest readable record."""
+    """One topic; ``first_offset`` is that of the oldest readable record.
 
-    __slots__ = ("records", "first_offset")
+    ``times`` has the time of the event loop's clock at which each record
+    was written.
+    """
+
+    __slots__ = ("records", "times", "first_offset")
 
     def __init__(self):
         self.records = []
+        self.times = []
         self.first_offset = 0
 
+    def append(self, key, value, now):
+        """Append a record at a time in seconds."""
+        self.records.append((key, value))
+        self.times.append(now)
+
+    def restore(self, copied_at):
+        """Keep the records that a copy made at ``copied_at`` has."""
+        count = bisect.bisect_right(self.times, copied_at)
+        del self.records[count:]
+        del self.times[count:]
+        self.first_offset = min(self.first_offset, count)
+
 
 class StoreServer:
     """The store's server; ``fault`` is the name of a fault, or None.
 
     Faults: ``busy`` answers with 503, ``silent`` delays each answer by 30
-    seconds, ``cut`` truncates the answer to a read.
+    seconds, ``cut`` truncates the answer to a read. ``era`` is in the
+    header of all answers, None for a store without the header. While
+    ``outages`` is not 0, calls are closed without an answer and ``put``
+    loses its record.
     """
 
     def __init__(self):
         self.topics = {}
         self.fault = None
+        self.era = None
+        self.outages = 0
         self.calls = 0
         self.address = None
         self._changed = asyncio.Event()
@@ -56,10 +81,40 @@
 
     def put(self, topic, key, document):
         """Append a document, raw bytes, or None to delete the key."""
+        if self.outages:
+            return
         value = document
         if not isinstance(document, (bytes, type(None))):
             value = orjson.dumps(document)
-        self._get_topic(topic).records.append((key, value))
+        self._get_topic(topic).append(key, value, time.monotonic())
+        self._wake_readers()
+
+    def restore(self, copied_at):
+        """Return to a copy made at ``copied_at`` and raise the era.
+
+        The time is of time.monotonic. Later records are lost, and their
+        offsets are issued again.
+        """
+        for topic in self.topics.values():
+            topic.restore(copied_at)
+        if self.era is not None:
+            self.era += 1
+
+    async def restore_after_outage(self, away_s, age_s):
+        """Be unavailable for ``away_s``, then return from an older copy.
+
+        The copy is ``age_s`` old when the outage begins.
+        """
+        copied_at = time.monotonic() - age_s
+        self.outages += 1
+        self._wake_readers()
+        try:
+            await asyncio.sleep(away_s)
+            self.restore(copied_at)
+        finally:
+            self.outages -= 1
+
+    def _wake_readers(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -72,7 +127,17 @@
         return self.topics.setdefault(topic, Topic())
 
     async def _answer(self, request):
+        response = await self._make_answer(request)
+        if self.outages:
+            request.transport.abort()
+        if self.era is not None:
+            response.headers[ERA_HEADER] = str(self.era)
+        return response
+
+    async def _make_answer(self, request):
         self.calls += 1
+        if self.outages:
+            return web.Response(status=503)
         if self.fault == "busy":
             return web.Response(status=503)
         if self.fault == "silent":
@@ -106,7 +171,7 @@
 
     async def _answer_read(self, request, topic):
         start = int(request.query["from"])
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= len(topic.records):
             body = orjson.dumps({"first": topic.first_offset})
             return web.Response(status=410, body=body)
         wait_s = int(request.query.get("waitMs", "0")) / 1000.0
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -37,6 +37,7 @@
             self.pause = min(store_reader.MAX_RETRY_PAUSE_S, 2 * self.pause)
             return
         self.pause = store_reader.RETRY_PAUSE_S
+        fleet.feed(self.state, events.StoreEraRead(now, fleet.era))
         fleet.feed(self.state, events.StoreAnswered(now))
         self.table.record_answer(now)
         rows, is_snapshot = self._read_records()
@@ -66,6 +67,8 @@
     time and the rows of persisted crashes by node. ``refused`` has the names
     of the nodes that the store refuses. Without records in ``log``, readers
     get all ``entries`` at each read, and with some only the newer ones.
+    ``era`` is the store's; ``member_writes`` has the time, the node and the
+    era of each member record that is written again.
     """
 
     def __init__(self, zones, count):
@@ -83,6 +86,8 @@
         self._plans = []
         self._count = 0
         self.persisted = {}
+        self.era = 0
+        self.member_writes = []
         for number in range(zones * count):
             name = "n%d" % (number + 1)
             zone = "z%d" % (number % zones)
@@ -130,6 +135,17 @@
         else:
             self.persisted[state.local_member.name] = (self.now, rows)
 
+    def write_member(self, state):
+        """Write a node's member record to the store again."""
+        self.calls += 1
+        name = state.local_member.name
+        if self.is_refused(name):
+            self.feed(state, events.MemberWriteFailed(self.now))
+            return
+        self.member_writes.append((self.now, name, self.era))
+        self.feed(state, events.StoreEraRead(self.now, self.era))
+        self.feed(state, events.RecordWritten(self.now, self.era))
+
     def run_until(self, end):
         """Run the planned actions up to ``end`` seconds."""
         while self._plans and self._plans[0][0] <= end:
@@ -255,6 +271,11 @@
     fleet.persist_crashes(state, effect.rows)
 
 
+@apply_effect.register
+def _write_member(effect: effects.WriteMember, fleet, state):
+    fleet.write_member(state)
+
+
 @apply_effect.register
 def _fetch_workers(effect: effects.FetchWorkers, fleet, state):
     fleet.fetch_workers(state, effect.ip)
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -129,6 +129,11 @@
     return messages.Heartbeat(**(values | fields))
 
 
+def apply_event(state, event):
+    """Apply an event to a node; return the effects."""
+    return coordination.reduce_event(state, event)
+
+
 def deliver_message(state, message, now, sender="10.0.0.9"):
     """Deliver a message to a node; return the effects."""
     event = events.MessageReceived(now, sender, message)
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -215,6 +215,9 @@
     def record_store_failure(self):
         pass
 
+    def record_refused_offset(self):
+        pass
+
     def update_workers(self, found, departures, changed):
         self.lists.append(found)
 
