Restore the store in the soak and under real processes

The stand-in can be unavailable and return from a copy of some seconds ago; the soak does so as a fault of its own, after which workers and the operator write again within 2 s.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -37,6 +37,10 @@
 REQUEST_SHARES = {"orders": 0.5, "uploads": 0.1, "reads": 0.4}
 UPLOAD_BYTES = 300_000
 SETTLE_TIME_S = 4.0  # after the last fault, before reads must be served
+RESTORE_OUTAGE_S = (0.5, 2.5)  # before the store returns from a copy
+MAX_COPY_AGE_S = 4.0  # of a copy when the outage begins
+REWRITE_TIME_S = 2.0  # in which all write their entries again after it
+RESTORE_EFFECT_S = 3.0  # after that, until entries of the copy are gone
 FINAL_REPLACEMENTS = 3  # workers replaced at the end, without other faults
 MIN_SERVED_SHARE = 0.95  # of the reads after SETTLE_TIME_S
 
@@ -223,6 +227,7 @@
         self.count = count
         self.record = soak_record.Record()
         self.store = store.StoreServer()
+        self.store.era = 1
         self.fleet = None
         self.clock = None
         self.version = 1
@@ -271,6 +276,10 @@
     def publish(self):
         """Publish the next version of the configuration."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self):
+        """Write the newest version of the configuration to the store."""
         document = soak_fleet.make_configuration(self.version)
         self.store.put("keyed.op", "config", document)
 
@@ -384,6 +393,26 @@
         soak.store.fault = None
 
 
+async def _restore_store(soak):
+    await soak.store.restore_after_outage(
+        soak.random.uniform(*RESTORE_OUTAGE_S),
+        soak.random.uniform(0.0, MAX_COPY_AGE_S),
+    )
+    await asyncio.gather(
+        _write_again(soak, soak.write_configuration),
+        *(
+            _write_again(soak, worker.write_again)
+            for worker in soak.fleet.list_running_workers()
+        ),
+    )
+    await asyncio.sleep(RESTORE_EFFECT_S)
+
+
+async def _write_again(soak, write):
+    await asyncio.sleep(soak.random.uniform(0.0, REWRITE_TIME_S))
+    write()
+
+
 async def _truncate_history(soak):
     soak.store.truncate_history("keyed.servers")
     soak.store.truncate_history("keyed.op")
@@ -415,6 +444,7 @@
     "reload": _reload_node,
     "cut": _cut_store_link,
     "store": _fail_store,
+    "restore": _restore_store,
     "forget": _truncate_history,
     "publish": _publish,
     "spoil": _inject_worker_fault,
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -174,6 +174,10 @@
 
     async def read_version(self):
         """Return the version of the node's configuration, 0 if unknown."""
+        return await self.read_gauge("configuration_version")
+
+    async def read_gauge(self, name):
+        """Return an integer from the node's metrics, 0 if unknown."""
         port = FIRST_PORT + len(PORT_OFFSETS) + 1
         timeout = aiohttp.ClientTimeout(total=0.5)
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
@@ -181,7 +185,7 @@
                 url = "http://%s:%d/metrics" % (self.ip, port)
                 async with session.get(url) as response:
                     text = await response.text()
-            found = re.search(r"configuration_version (\d+)", text)
+            found = re.search(r"%s (\d+)" % name, text)
             return int(found.group(1)) if found else 0
         return 0
 
@@ -244,6 +248,16 @@
         row = None if state == "gone" else row
         self.soak.store.put("keyed.servers", self.worker_id, row)
 
+    def write_again(self):
+        """Write the entry to a restored store, unless the worker is gone."""
+        if self.is_running() and not self.is_down:
+            self.write_entry("draining" if self.is_leaving else "ready")
+
+    def is_running(self):
+        """Return whether the worker has an entry in the store."""
+        fleet = self.soak.fleet
+        return self in fleet.workers or self in fleet.leaving_workers
+
     async def _answer(self, request):
         request_id = request.headers["Acaciafield-Request-Id"]
         body = await request.content.read()
@@ -339,6 +353,7 @@
         self.folder = folder
         self.nodes = []
         self.workers = []
+        self.leaving_workers = set()
         self.count = 0
 
     @contextlib.asynccontextmanager
@@ -348,7 +363,7 @@
         try:
             for service in ROUTE_KINDS:
                 for _ in range(WORKERS_PER_SERVICE):
-                    await self._add_worker(service)
+                    await self.add_worker(service)
             for number in range(1, self.soak.count + 1):
                 node = Node(self.soak, number, self.folder)
                 listener = await asyncio.start_server(
@@ -388,7 +403,12 @@
         """Return a random worker."""
         return self.soak.random.choice(self.workers)
 
-    async def _add_worker(self, service):
+    def list_running_workers(self):
+        """Return the workers that have an entry in the store."""
+        return [*self.workers, *self.leaving_workers]
+
+    async def add_worker(self, service):
+        """Add a worker to a service."""
         self.count += 1
         worker = Worker(self.soak, "i-%d" % self.count, service)
         await worker.open()
@@ -399,8 +419,10 @@
         """Add a worker to a service, then drain and remove another one."""
         worker = await self._exchange_worker()
         worker.write_entry("draining")
+        self.leaving_workers.add(worker)
         self.soak.record.drained_at[worker.worker_id] = self.soak.clock()
         await asyncio.sleep(LEAVE_TIME_S)
+        self.leaving_workers.discard(worker)
         worker.write_entry("gone")
         await worker.close()
 
@@ -422,5 +444,5 @@
         """Add a worker and return another one of its service to remove."""
         worker = self.pick_worker()
         self.workers.remove(worker)
-        await self._add_worker(worker.service)
+        await self.add_worker(worker.service)
         return worker
