--- a/packages/daemon/acaciafield_daemon/gateway/store_reader.py
+++ b/packages/daemon/acaciafield_daemon/gateway/store_reader.py
@@ -198,6 +198,8 @@
             elif listed[worker_id].version <= version:
                 self.unwritten[worker_id] = True
         self.rewritten_by = now + REWRITE_TIME_S
+        # Entries of the copy may expire together before they are rewritten.
+        self.settled_at = max(self.settled_at, self.rewritten_by)
         return changed
 
     def apply(self, entries, is_snapshot, now):
@@ -270,6 +272,7 @@
                 continue
             if entry.version >= known.version:
                 del self.unwritten[worker_id]
+                self.absent.pop(worker_id, None)
 
     def _list_unwritten(self):
         """Return the workers that did not write to a restored store."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -128,7 +128,7 @@
 
     async def _answer(self, request):
         response = await self._make_answer(request)
-        if self.outages:
+        if self.outages and request.transport is not None:
             request.transport.abort()
         if self.era is not None:
             response.headers[ERA_HEADER] = str(self.era)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from acaciafield.gateway import effects
 from acaciafield.gateway import events
+from acaciafield.gateway import messages
 from acaciafield.gateway import store_eras
 from acaciafield_daemon.gateway import store_reader
 from acaciafield_platform import documents
@@ -228,6 +230,20 @@
     assert len(expire(table, 6.0 + REWRITE_S)) == 4
 
 
+@pytest.mark.parametrize("sequence", [5, 6])
+def test_entries_that_expire_after_a_restore_may_be_written_again(sequence):
+    # Guards against losing all live workers if the copy's entries expire
+    # as soon as a store that was away only briefly returns.
+    table = make_table(sequence=5)
+    table.apply_restored(list_rows([1, 2, 3, 4], sequence=4), 0.6)
+    expired = [("w%d" % number, None) for number in range(1, 5)]
+    table.record_answer(1.2)
+    assert not table.apply(expired, False, 1.2)
+    table.apply(list_rows([1, 2, 3], sequence=sequence), False, 1.8)
+    assert len(expire(table, 0.5 + REWRITE_S)) == 4
+    assert expire(table, 0.6 + REWRITE_S) == ["w1", "w2", "w3"]
+
+
 def test_second_restore_starts_the_time_anew():
     table = make_table(sequence=5)
     table.apply_restored(list_rows([1, 2], sequence=5), 1.0)
@@ -438,6 +454,31 @@
     assert state.store_era == 7
 
 
+def answer_heartbeat(state, now):
+    """Return a coordinator's answer to a node of another zone."""
+    other = support.make_state("n2", zone="zb")
+    heartbeat = support.make_heartbeat(other, is_list_wanted=False)
+    out = support.deliver_message(state, heartbeat, now)
+    answers = [e.message for e in support.select_effects(out, effects.Send)]
+    return next(a for a in answers if type(a) is messages.HeartbeatAnswer)
+
+
+def test_departures_are_reported_to_all_zones_after_a_restore():
+    # Guards against a coordinator of another zone that started after the
+    # restore and uses a removed worker which the copy lists.
+    state = support.make_state()
+    state.start(0.0)
+    support.apply_event(state, events.StoreEraRead(0.0, 1))
+    rows = [["w1", 1, 5]]
+    support.apply_event(state, events.WorkersRead(0.1, [], rows))
+    assert answer_heartbeat(state, 0.2).departures == ()
+    assert answer_heartbeat(state, 0.2).store_era == 1
+    support.apply_event(state, events.StoreEraRead(0.3, 2))
+    answer = answer_heartbeat(state, 0.4)
+    assert answer.departures == rows
+    assert answer.store_era == 2
+
+
 def read_eras(server_era, fault=None):
     """Write a member and return the eras that were reported."""
 
