--- a/packages/coordination/acaciafield/gateway/heartbeats.py
+++ b/packages/coordination/acaciafield/gateway/heartbeats.py
@@ -11,6 +11,7 @@
 from acaciafield.gateway import members
 from acaciafield.gateway import messages
 from acaciafield.gateway import node_state
+from acaciafield.gateway import store_eras
 
 COORDINATION_TIME_S = 3.0  # since the last heartbeat or request
 PUSH_PERIOD_S = 0.5  # minimum between unsolicited lists of members
@@ -227,7 +228,7 @@
     # Each node gets the departures from the coordinator of its own zone.
     departures = (
         state.roster.list_recent_departures(now)
-        if message.is_list_wanted
+        if message.is_list_wanted or now < state.share_departures_until
         else ()
     )
     answer = _make_answer(
@@ -261,6 +262,7 @@
         crashes,
         heartbeat_sent_at,
         state.freshness.measure_age(state.boot_now),
+        store_era=state.store_era or 0,
     )
 
 
@@ -304,6 +306,10 @@
         message.config_age,
         state.boot_now,
     )
+    if message.store_era:
+        store_eras.observe_era(
+            state, message.store_era, message.name, now, out
+        )
     crash_sharing.merge_crashes(message.crashes, message.name, state, now, out)
     candidate.is_missing_crashes = message.crash_digest != state.crashes.digest
     if message.departures:
