Limit the requests of workspaces by quotas at the coordinators

Each coordinator now refills token buckets by its share of the limits, which it derives from the heartbeats that name it, and requests tokens of the other zones ahead of need. A token that crosses a link is usable for 0.25 s at most, and a queued request holds one for 0.1 s, so that starts follow tokens closely enough for sliding windows. A request over the limit is refused with the reason quota, which the node answers with 429.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -13,6 +13,7 @@
 from acaciafield.gateway import heartbeats
 from acaciafield.gateway import messages
 from acaciafield.gateway import node_state
+from acaciafield.gateway import quota_sharing
 from acaciafield.gateway import rosters
 from acaciafield.gateway import scheduling
 from acaciafield import outcomes
@@ -92,6 +93,7 @@
 def _fire_sweep(timer: node_state.SweepTimer, state, now, out):
     state.timers.subscribe("sweep", now + node_state.SWEEP_PERIOD_S, timer)
     state.crashes.sweep(now)
+    state.quotas.sweep(now)
     crash_sharing.persist_crashes(state, now, out)
     for scheduler in state.schedulers.values():
         scheduler.sweep(now)
@@ -146,6 +148,8 @@
         )
         heartbeats.request_workers(state, now, out)
         return
+    if not quota_sharing.admit(message, state, sender, now, out):
+        return
     scheduler = state.get_scheduler(message.service)
     scheduler.budget.slack_share = state.get_budget_share()
     answer = scheduler.decide(message, sender, now)
@@ -155,6 +159,7 @@
 
 
 def _answer_request(answer, request, state, sender, out):
+    answer = _apply_quota(answer, request, state, out)
     if isinstance(answer, messages.Grant):
         answer.granted_by = state.local_member.name
         answer.list_age = state.get_store_age(state.now)
@@ -177,6 +182,22 @@
     _notify_evidence_holders(request.service, notice, state, out)
 
 
+def _apply_quota(answer, request, state, out):
+    """Return the answer, or a refusal for a grant above the quota.
+
+    A request that was queued for long takes its token with the grant.
+    """
+    if isinstance(answer, messages.GrantRefusal):
+        quota_sharing.return_token(request.attempt_id, state, state.now)
+    if not isinstance(answer, messages.Grant):
+        return answer
+    refusal = quota_sharing.confirm_grant(request, state, state.now, out)
+    if refusal is None:
+        return answer
+    state.schedulers[request.service].withdraw(request.attempt_id)
+    return refusal
+
+
 def _describe_decision(answer, request, state):
     scheduler = state.schedulers[request.service]
     fields = {
@@ -338,6 +359,7 @@
 def _receive_withdrawal(
     message: messages.GrantWithdrawal, state, sender, now, out
 ):
+    quota_sharing.return_token(message.attempt_id, state, now)
     scheduler = state.schedulers.get(message.service)
     if scheduler is not None:
         scheduler.withdraw(message.attempt_id)
--- a/packages/coordination/acaciafield/gateway/events.py
+++ b/packages/coordination/acaciafield/gateway/events.py
@@ -55,9 +55,13 @@
 
 
 class ConfigurationUpdated(structs.Struct):
-    """This node adopted a version of the configuration."""
+    """This node adopted a version of the configuration.
 
-    __slots__ = ("now", "version")
+    ``limits`` maps names to workspaces.Workspace, None without workspaces.
+    """
+
+    __slots__ = ("now", "version", "limits")
+    DEFAULTS = {"limits": None}
 
 
 class MembersRead(structs.Struct):
--- a/packages/coordination/acaciafield/gateway/heartbeats.py
+++ b/packages/coordination/acaciafield/gateway/heartbeats.py
@@ -11,6 +11,7 @@
 from acaciafield.gateway import members
 from acaciafield.gateway import messages
 from acaciafield.gateway import node_state
+from acaciafield.gateway import quota_sharing
 
 COORDINATION_TIME_S = 3.0  # since the last heartbeat or request
 PUSH_PERIOD_S = 0.5  # minimum between unsolicited lists of members
@@ -63,6 +64,7 @@
     if event.version <= state.config_version:
         return
     state.config_version = event.version
+    quota_sharing.update_limits(event.limits, state, now)
     if now >= state.coordinating_until:
         return
     notice = messages.ConfigNotice(state.local_member.name, event.version)
@@ -160,6 +162,7 @@
                 if candidate.is_missing_crashes
                 else ()
             ),
+            coordinator=quota_sharing.find_named_coordinator(state, now),
         )
         candidate.is_missing_crashes = False
         candidate.record_heartbeat_sent(now)
@@ -187,6 +190,7 @@
 def _receive_heartbeat(message: messages.Heartbeat, state, sender, now, out):
     start_coordinating(state, now, out)
     changed = state.registry.record_heartbeat(message, now)
+    quota_sharing.record_heartbeat(message, state, now)
     registry = state.registry
     crash_sharing.merge_crashes(message.crashes, message.name, state, now, out)
     crashes = ()
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -149,6 +149,8 @@
     its rows if the coordinator's digest differed in its last answer.
     ``sent_at`` is the time of the sender's CLOCK_BOOTTIME in seconds, which
     the answer returns; it means nothing to any other node.
+    ``coordinator`` names the coordinator of the sender's zone, "" where no
+    workspace has a quota.
     """
 
     KIND = 8
@@ -166,8 +168,14 @@
         "crash_digest",
         "crashes",
         "sent_at",
+        "coordinator",
     )
-    DEFAULTS = {"crash_digest": "", "crashes": (), "sent_at": None}
+    DEFAULTS = {
+        "crash_digest": "",
+        "crashes": (),
+        "sent_at": None,
+        "coordinator": "",
+    }
 
 
 class HeartbeatAnswer(structs.Struct):
--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -5,6 +5,7 @@
 from acaciafield.gateway import crashes
 from acaciafield.gateway import members
 from acaciafield.gateway import pauses
+from acaciafield.gateway import quotas
 from acaciafield.gateway import rosters
 from acaciafield.gateway import scheduling
 from acaciafield import structs
@@ -41,6 +42,18 @@
     __slots__ = ()
 
 
+class QuotaTimer(structs.Struct):
+    """Timer that checks which workspaces run low on tokens."""
+
+    __slots__ = ()
+
+
+class QuotaWaitTimer(structs.Struct):
+    """Timer that refuses the requests that got no token in time."""
+
+    __slots__ = ()
+
+
 class NodeState:
     """State of a gateway's node, except its own requests.
 
@@ -62,6 +75,9 @@
         "roster",
         "crashes",
         "pauses",
+        "quotas",
+        "exchange",
+        "has_quota_timer",
         "persisted_counts",
         "next_persist_at",
         "coordinating_until",
@@ -91,6 +107,9 @@
         self.roster = rosters.Roster()
         self.crashes = crashes.CrashLedger()
         self.pauses = pauses.Pauses()
+        self.quotas = quotas.Quotas(terms)
+        self.exchange = quotas.Exchange()
+        self.has_quota_timer = False
         self.persisted_counts = []
         self.next_persist_at = 0.0
         self.coordinating_until = 0.0
@@ -164,6 +183,7 @@
     def apply_terms(self, terms):
         """Apply the operator's changed terms to all schedulers."""
         self.terms = terms
+        self.quotas.terms = terms
         for scheduler in self.schedulers.values():
             scheduler.budget.ratio = terms.ratio
             scheduler.budget.slack = terms.slack
--- /dev/null
+++ b/packages/coordination/acaciafield/gateway/quota_sharing.py
@@ -0,0 +1,353 @@
+"""Quotas at a coordinator: admission, and transfers of tokens.
+
+A coordinator requests tokens from those of the other zones before a
+workspace runs out of them, by its recent demand. docs/design/quotas.md
+describes the protocol.
+"""
+
+from acaciafield.gateway import effects
+from acaciafield.gateway import handlers
+from acaciafield.gateway import messages
+from acaciafield.gateway import node_state
+from acaciafield.gateway import quotas as quota_buckets
+from acaciafield.gateway import scheduling
+
+CHECK_PERIOD_S = 0.1  # of the buckets; at most one planned request in it
+# Requests for tokens, beyond the planned ones, for requests that wait.
+MIN_URGENT_PAUSE_S = 0.01
+URGENT_RATE = 5.0  # a second
+# Less than grant_requests.FIRST_TIMEOUT_S with a round trip between zones.
+MAX_WAIT_S = 0.05
+DRY_TIME_S = 0.1  # after the others had no tokens
+MAX_WAITING = 1000  # requests of all workspaces
+
+
+def update_limits(limits, state, now):
+    """Apply the limits of a configuration, None without workspaces."""
+    state.quotas.update_limits(limits, now)
+    _start_timer(state, now)
+
+
+def _start_timer(state, now):
+    if state.quotas.limits and not state.has_quota_timer:
+        state.has_quota_timer = True
+        state.timers.subscribe(
+            "quota", now + CHECK_PERIOD_S, node_state.QuotaTimer()
+        )
+
+
+def find_named_coordinator(state, now):
+    """Return the name that heartbeats give for this zone's coordinator.
+
+    It is "" where no workspace has a limit.
+    """
+    if not state.quotas.limits:
+        return ""
+    zone = state.local_member.zone
+    coordinator = state.membership.find_coordinator(zone, now)
+    return coordinator.member.name if coordinator is not None else ""
+
+
+def record_heartbeat(heartbeat, state, now):
+    """Record whether a member of this zone names this coordinator."""
+    if heartbeat.zone == state.local_member.zone and heartbeat.coordinator:
+        is_named = heartbeat.coordinator == state.local_member.name
+        if heartbeat.leaving:
+            is_named = False
+        state.quotas.zone_share.record_name(heartbeat.name, is_named, now)
+        _start_timer(state, now)
+
+
+def admit(request, state, sender, now, out):
+    """Return whether a grant request may go to its scheduler now.
+
+    Otherwise it has been refused, or it waits for tokens.
+    """
+    if not request.workspace or request.retry_count:
+        return True
+    quotas = state.quotas
+    if quotas.limits is None:
+        # The node asks the next coordinator, which may know the limits.
+        fields = {"ask": request.attempt_id, "unknown": "limits"}
+        out.append(effects.LogDecision("ask-early", fields))
+        return False
+    limit = quotas.find_limit(request.workspace)
+    waiting = state.exchange.waiting
+    if limit is None:
+        waiting.pop(request.attempt_id, None)
+        return True
+    is_new = (
+        request.attempt_id not in quotas.tokens
+        and request.attempt_id not in waiting
+    )
+    if is_new:
+        quotas.find_bucket(limit, now).add_demand(now)
+    if quotas.try_take(request.attempt_id, limit, request.time_left, now):
+        waiting.pop(request.attempt_id, None)
+        return True
+    if request.attempt_id in waiting:
+        return False
+    _await_tokens(request, limit, state, sender, now, out)
+    return False
+
+
+def _await_tokens(request, limit, state, sender, now, out):
+    exchange = state.exchange
+    bucket = state.quotas.find_bucket(limit, now)
+    cause = None
+    if not _list_others(state, now):
+        cause = "alone"
+    elif now < bucket.dry_until:
+        cause = "others-empty"
+    elif len(exchange.waiting) >= MAX_WAITING:
+        cause = "many-waiting"
+    if cause is not None:
+        _refuse(request, cause, state, sender, now, out)
+        return
+    expires = now + MAX_WAIT_S
+    exchange.waiting[request.attempt_id] = quota_buckets.WaitingRequest(
+        request, sender, expires
+    )
+    _schedule_wait(state)
+    _request_urgently(state, now, out)
+
+
+def _schedule_wait(state):
+    waiting = state.exchange.waiting
+    if waiting:
+        due = next(iter(waiting.values())).expires
+        state.timers.subscribe("quota-wait", due, node_state.QuotaWaitTimer())
+
+
+def _request_urgently(state, now, out):
+    exchange = state.exchange
+    elapsed = now - exchange.sent_at
+    if elapsed < MIN_URGENT_PAUSE_S or exchange.urgent < 1.0:
+        return
+    exchange.urgent -= 1.0
+    _request_tokens(state, now, out)
+
+
+def confirm_grant(request, state, now, out):
+    """Return None, or the refusal that a grant must be replaced by."""
+    if state.quotas.confirm(request.attempt_id, now):
+        return None
+    return _make_refusal(request, "queued", state, now, out)
+
+
+def return_token(attempt_id, state, now):
+    """Return the token of a request that was not granted."""
+    state.exchange.waiting.pop(attempt_id, None)
+    state.quotas.give_back(attempt_id, now)
+
+
+def _make_refusal(request, cause, state, now, out):
+    quotas = state.quotas
+    retry_after = 1.0
+    fields = {
+        "ask": request.attempt_id,
+        "workspace": request.workspace,
+        "service": request.service,
+        "cause": cause,
+    }
+    limit = quotas.find_limit(request.workspace)
+    if limit is not None:
+        retry_after = quotas.choose_retry_after(limit, now)
+        fields.update(quotas.describe(limit, now))
+    retry_after = round(retry_after, 2)
+    quotas.counts["refused"] += 1
+    out.append(
+        effects.LogDecision("quota", fields | {"retry_after": retry_after})
+    )
+    return messages.GrantRefusal(
+        request.attempt_id, scheduling.RefusalReason.QUOTA, retry_after
+    )
+
+
+def _refuse(request, cause, state, sender, now, out):
+    refusal = _make_refusal(request, cause, state, now, out)
+    if not sender or sender == state.local_member.ip:
+        out.append(effects.DeliverAnswer(refusal))
+    else:
+        out.append(effects.Send(sender, refusal))
+
+
+def _list_others(state, now):
+    """Return the addresses of the coordinators of the other zones."""
+    local = state.local_member
+    return [
+        candidate.member.ip
+        for candidate in state.membership.list_coordinators(now)
+        if candidate.member.zone != local.zone
+        and candidate.member.name != local.name
+        and not candidate.is_unresponsive(now)
+    ]
+
+
+@handlers.fire_timer.register
+def _fire_quota(timer: node_state.QuotaTimer, state, now, out):
+    quotas, exchange = state.quotas, state.exchange
+    if not quotas.limits:
+        state.has_quota_timer = False
+        return
+    state.timers.subscribe("quota", now + CHECK_PERIOD_S, timer)
+    if not state.is_coordinating:
+        quotas.clear()
+        exchange.rounds.clear()
+        exchange.waiting.clear()
+        return
+    quotas.update_share(_measure_share(state, now), now)
+    quotas.release_old(now)
+    exchange.urgent = min(
+        quota_buckets.MAX_URGENT,
+        exchange.urgent + URGENT_RATE * CHECK_PERIOD_S,
+    )
+    _end_rounds(state, now, out)
+    if now - exchange.sent_at >= CHECK_PERIOD_S / 2:
+        _request_tokens(state, now, out)
+
+
+def _measure_share(state, now):
+    """Return the part of all limits that this coordinator refills."""
+    membership = state.membership
+    candidates = len(membership.list_candidates(state.local_member.zone))
+    members = min(candidates, state.quotas.zone_share.count_members(now))
+    return members / candidates / len(membership.list_zones())
+
+
+def _request_tokens(state, now, out):
+    """Request tokens for all workspaces that run low, in one message."""
+    quotas, exchange = state.quotas, state.exchange
+    ips = _list_others(state, now)
+    if not ips:
+        return
+    rows = []
+    waiting_counts = exchange.count_waiting()
+    for name in quotas.list_active(now):
+        if now < quotas.buckets[name].dry_until - DRY_TIME_S / 2:
+            continue
+        waiting = waiting_counts[name]
+        missing = quotas.find_shortage(name, waiting, now)
+        if missing > 0.0:
+            # Some of the others may have nothing for a waiting request.
+            wanted = missing if waiting else missing / len(ips)
+            rows.append([name, round(wanted, 2)])
+    if not rows:
+        return
+    exchange.last_id += 1
+    exchange.sent_at = now
+    exchange.rounds[exchange.last_id] = quota_buckets.Round(now, ips, rows)
+    request_id = "%d-%d" % (state.local_member.incarnation, exchange.last_id)
+    request = messages.QuotaRequest(state.local_member.name, request_id, rows)
+    out.extend(effects.Send(ip, request) for ip in ips)
+    quotas.counts["messages"] += len(ips)
+
+
+@handlers.receive_message.register
+def _receive_quota_request(
+    message: messages.QuotaRequest, state, sender, now, out
+):
+    """Send tokens, also if there are none, so that nobody waits."""
+    quotas = state.quotas
+    if not state.is_coordinating or not quotas.limits:
+        return
+    rows = []
+    for name, wanted in message.rows:
+        # Rounding down keeps a message from carrying more than was taken.
+        amount = int(quotas.lend(name, wanted, now) * 100) / 100
+        if amount > 0.0:
+            rows.append([name, amount])
+    transfer = messages.QuotaTransfer(
+        state.local_member.name, message.request_id, rows
+    )
+    out.append(effects.Send(sender, transfer))
+    quotas.counts["messages"] += 1
+
+
+def _find_round(message, state):
+    incarnation, _, number = str(message.request_id).partition("-")
+    if incarnation != str(state.local_member.incarnation):
+        return None, None
+    number = int(number) if number.isdecimal() else None
+    return number, state.exchange.rounds.get(number)
+
+
+@handlers.receive_message.register
+def _receive_quota_transfer(
+    message: messages.QuotaTransfer, state, sender, now, out
+):
+    """Take up the tokens of a transfer, once and only if it is recent."""
+    quotas, exchange = state.quotas, state.exchange
+    number, pending = _find_round(message, state)
+    is_expected = pending is not None and sender in pending.ips
+    if not is_expected or now - pending.sent_at > quotas.transfer_time:
+        quotas.counts["dropped_transfers"] += 1
+        fields = {"from": message.node, "request": message.request_id}
+        out.append(effects.LogDecision("quota-dropped", fields))
+        return
+    pending.ips.discard(sender)
+    for name, amount in message.rows:
+        if name in pending.wanted:
+            pending.record_transfer(name, amount)
+            quotas.receive(name, amount, pending.sent_at, now)
+    if not pending.ips:
+        del exchange.rounds[number]
+        _mark_dry(pending, state, now)
+    _retry_waiting(state, now, out)
+
+
+def _mark_dry(pending, state, now):
+    """Record the workspaces that no other coordinator can help now."""
+    for name in pending.list_unmet():
+        bucket = state.quotas.buckets.get(name)
+        if bucket is not None and not bucket.has_token():
+            bucket.dry_until = now + DRY_TIME_S
+
+
+def _has_token(request, state, now):
+    """Return whether a waiting request would be admitted now."""
+    limit = state.quotas.find_limit(request.workspace)
+    if limit is None:
+        return True
+    return state.quotas.find_bucket(limit, now).has_token()
+
+
+def _retry_waiting(state, now, out):
+    """Decide on waiting requests that have tokens, or will have none."""
+    exchange = state.exchange
+    is_lacking = False
+    for attempt_id, waiting in list(exchange.waiting.items()):
+        request = waiting.request
+        if _has_token(request, state, now):
+            handlers.receive_message(request, state, waiting.sender, now, out)
+        elif now < state.quotas.buckets[request.workspace].dry_until:
+            del exchange.waiting[attempt_id]
+            _refuse(request, "others-empty", state, waiting.sender, now, out)
+        else:
+            is_lacking = True
+    if is_lacking:
+        _request_urgently(state, now, out)
+    _schedule_wait(state)
+
+
+@handlers.fire_timer.register
+def _fire_wait(timer: node_state.QuotaWaitTimer, state, now, out):
+    for attempt_id, waiting in list(state.exchange.waiting.items()):
+        if now < waiting.expires:
+            break
+        request, sender = waiting.request, waiting.sender
+        if _has_token(request, state, now):
+            handlers.receive_message(request, state, sender, now, out)
+        if state.exchange.waiting.pop(attempt_id, None) is not None:
+            _refuse(request, "no-transfer", state, sender, now, out)
+    _schedule_wait(state)
+
+
+def _end_rounds(state, now, out):
+    """Forget the rounds for which answers are too late."""
+    exchange = state.exchange
+    for number, pending in list(exchange.rounds.items()):
+        if now - pending.sent_at > state.quotas.transfer_time:
+            del exchange.rounds[number]
+            fields = {"request": number, "silent": sorted(pending.ips)}
+            out.append(effects.LogDecision("quota-unanswered", fields))
--- a/packages/coordination/acaciafield/gateway/routes.py
+++ b/packages/coordination/acaciafield/gateway/routes.py
@@ -129,6 +129,13 @@
                 tables.items(), reverse=True
             )
 
+    @property
+    def limits_by_workspace(self):
+        """The workspaces.Workspace of each name, or None without any."""
+        if self.workspaces is None:
+            return None
+        return self.workspaces.by_name
+
     def find_route(self, host_header, path):
         """Return the route with the longest matching prefix, or None.
 
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -56,6 +56,7 @@
     AVOIDED = "avoided"
     STALE = "stale"
     PAUSED = "paused"
+    QUOTA = "quota"
 
 
 class ResultClass(enum.IntEnum):
--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -5,12 +5,14 @@
 import xxhash
 
 from acaciafield.gateway import attempts
+from acaciafield.gateway import scheduling
 from acaciafield import outcomes
 from acaciafield import structs
 from acaciafield_daemon.gateway import upstream
 
 Ending = outcomes.Ending
 
+LIMITED = "limited"  # outcome of a request over the quota
 DEFAULT_TIMEOUT_S = 30.0  # for a caller that sends no deadline
 
 
@@ -19,6 +21,21 @@
 
     __slots__ = ("reason", "retry_after")
 
+    @property
+    def status(self):
+        """The status of the answer if no attempt may have run."""
+        return 429 if self.is_limited else 503
+
+    @property
+    def outcome(self):
+        """The name of this end of a request in the log and the metrics."""
+        return LIMITED if self.is_limited else "refused"
+
+    @property
+    def is_limited(self):
+        """Whether the workspace is over its quota."""
+        return self.reason == scheduling.RefusalReason.QUOTA
+
 
 class Call:
     """A caller's request in progress.
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -327,7 +327,11 @@
             findings=configuration.findings[:MAX_LOGGED_FINDINGS],
             unreadable=len(configuration.findings),
         )
-        self._apply_event(events.ConfigurationUpdated, configuration.version)
+        self._apply_event(
+            events.ConfigurationUpdated,
+            configuration.version,
+            configuration.limits_by_workspace,
+        )
 
     def _apply_event(self, event_class, *fields):
         event = event_class(self.clock(), *fields)
--- a/packages/daemon/acaciafield_daemon/gateway/pages.py
+++ b/packages/daemon/acaciafield_daemon/gateway/pages.py
@@ -66,6 +66,7 @@
             "configuration_version": version,
             "members": len(node.state.membership.members),
             "coordinating": int(node.state.is_coordinating),
+            **node.state.quotas.measure_gauges(),
             "paused_workers": node.state.pauses.count_paused(now),
             "quarantined": len(node.state.crashes.list_quarantined(now)),
             "store_age_seconds": node.state.get_store_age(now) or 0,
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -24,6 +24,8 @@
 STOPPING_REASON = "stopping"
 STOPPING_RETRY_AFTER_S = 0.05  # other nodes can serve the request at once
 OVERLOAD_RETRY_AFTER_S = 0.3  # where no coordinator gave a time
+# Failed requests are all logged; those over a quota may be too many.
+LOG_KINDS = {"passed": "served", calls.LIMITED: "limited"}
 
 
 class RequestServer:
@@ -412,12 +414,12 @@
                 ),
                 body=last_failure.body,
             )
-        retry_after = OVERLOAD_RETRY_AFTER_S
-        if isinstance(last_failure, calls.NoGrant):
-            retry_after = last_failure.retry_after
-        self._record_end(call, "refused", 503)
+        refusal = last_failure
+        if not isinstance(refusal, calls.NoGrant):
+            refusal = calls.NoGrant("", OVERLOAD_RETRY_AFTER_S)
+        self._record_end(call, refusal.outcome, refusal.status)
         return responses.make_error_response(
-            503, request_id, header_names, retry_after
+            refusal.status, request_id, header_names, refusal.retry_after
         )
 
     def _refuse_request(self, request_id, reason, retry_after):
@@ -431,7 +433,7 @@
         latency = self.clock() - call.started
         self.metrics.count("requests", route=call.route.name, outcome=outcome)
         self.metrics.record_latency(call.route.name, latency)
-        kind = "served" if outcome == "passed" else "failed"
+        kind = LOG_KINDS.get(outcome, "failed")
         self.log.write(
             kind,
             request=call.outgoing.request_id,
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -138,3 +138,8 @@
 def select_effects(out, kind):
     """Return the effects of one class."""
     return [effect for effect in out if type(effect) is kind]
+
+
+def reduce(state, event):
+    """Apply an event to a node; return the effects."""
+    return coordination.reduce_event(state, event)
--- /dev/null
+++ b/tests/test_gateway_quotas.py
@@ -0,0 +1,335 @@
+"""Quotas of workspaces: limits under failure, and no loss without one."""
+
+import random
+
+import pytest
+
+from acaciafield.gateway import effects
+from acaciafield.gateway import events
+from acaciafield.gateway import messages
+from acaciafield.gateway import scheduling
+from tests import gateway_quota_simulation as simulation
+from tests import gateway_support as support
+
+WARM_UP_S = 6.0  # until the shares of all coordinators are complete
+LIMITS = simulation.make_limits(big=(40, 20), small=(3, 6))
+
+
+def start_fleet(seed, limits=LIMITS, **fields):
+    """Return a fleet whose members know each other and their limits."""
+    fleet = simulation.QuotaFleet(random.Random(seed), **fields)
+    fleet.start()
+    fleet.configure(limits)
+    fleet.run_until(WARM_UP_S)
+    return fleet
+
+
+def assert_within_limits(fleet, limits=LIMITS, since=0.0):
+    for name, limit in limits.items():
+        starts = [at for at in fleet.starts[name] if at >= since]
+        found, at = simulation.find_fullest_window(
+            starts, support.TERMS.quota_window
+        )
+        bound = simulation.find_bound(limit, support.TERMS)
+        assert found <= bound, (name, found, bound, at)
+
+
+def plan_failures(fleet, begin, end):
+    """Plan random failures of hosts and links, at most one a second."""
+    at = begin
+    while at < end:
+        fleet.plan(at, lambda now: fail_once(fleet))
+        at += 1.0 + 2.0 * fleet.random.random()
+
+
+def fail_once(fleet):
+    names = sorted(fleet.states)
+    zones = sorted({s.local_member.zone for s in fleet.states.values()})
+    name = fleet.random.choice(names)
+    zone = fleet.random.choice(zones)
+    others = [other for other in zones if other != zone]
+    kind = fleet.random.choice(
+        ("kill", "restart", "cut", "zone", "one-way", "store", "stall", "heal")
+    )
+    if kind == "kill":
+        fleet.restart_node(name)
+    elif kind == "restart":
+        fleet.restart()
+    elif kind == "cut":
+        fleet.cut(name)
+    elif kind == "zone":
+        fleet.cut_zones([zone], others)
+    elif kind == "one-way":
+        fleet.cut_zones([zone], others, both_ways=False)
+    elif kind == "store":
+        fleet.refused = set(fleet.random.sample(names, len(names) // 2))
+    elif kind == "stall":
+        fleet.stalled_until = fleet.now + 2.0
+    else:
+        fleet.cut_links.clear()
+        fleet.refused = set()
+        for other in names:
+            fleet.heal(other)
+
+
+def run_with_failures(seed, end=24.0):
+    """Return a fleet after failures, with load far over the limits."""
+    slots = random.Random(seed).choice((2, 6, 100_000))
+    fleet = start_fleet(seed, slots=slots)
+    fleet.lost_share = fleet.random.choice((0.0, 0.02, 0.1))
+    fleet.doubled_share = fleet.random.choice((0.0, 0.1))
+    fleet.max_delay = fleet.random.choice((0.003, 0.02, 0.1))
+    services = fleet.random.choice((("orders",), ("orders", "maps", "x")))
+    fleet.entries += [
+        support.make_entry("w%d" % number, service=service, slots=slots)
+        for number, service in ((11, "maps"), (12, "x"))
+    ]
+    plan_failures(fleet, WARM_UP_S, end)
+    fleet.plan_load("big", 110.0, WARM_UP_S, end, services)
+    fleet.plan_load("small", 14.0, WARM_UP_S, end, services)
+    fleet.run_until(end)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_window_exceeds_a_limit_under_failures(seed):
+    """Guards against tokens that exist twice, and against late starts."""
+    fleet = run_with_failures(seed)
+    assert len(fleet.starts["big"]) > 50
+    assert_within_limits(fleet)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_lowered_limit_binds_after_one_window(seed):
+    """Guards against buckets that keep the tokens of the old limit."""
+    fleet = start_fleet(seed)
+    fleet.plan_load("big", 90.0, WARM_UP_S, 22.0)
+    fleet.run_until(10.0)
+    lowered = simulation.make_limits(big=(8, 4), small=(3, 6))
+    fleet.configure(lowered, max_delay=support.TERMS.config_bound)
+    fleet.run_until(22.0)
+    since = 10.0 + support.TERMS.config_bound
+    assert_within_limits(fleet, lowered, since)
+    assert len([at for at in fleet.starts["big"] if at > 17.0]) >= 35
+
+
+@pytest.mark.parametrize("services", [("orders",), ("orders", "maps", "x")])
+@pytest.mark.parametrize("seed", range(3))
+def test_workspace_under_its_limit_is_never_refused(seed, services):
+    """Guards against tokens that stay at coordinators without demand."""
+    fleet = start_fleet(seed)
+    fleet.entries += [
+        support.make_entry("w%d" % number, service=service, slots=100_000)
+        for number, service in ((11, "maps"), (12, "x"))
+    ]
+    fleet.run_until(8.0)
+    tokens, at, sent = LIMITS["big"].burst, 8.0, 0
+    while at < 20.0:
+        # Arrivals in steps of 25 ms that a bucket of the limit has room for.
+        at += 0.025
+        tokens = min(LIMITS["big"].burst, tokens + 0.025 * LIMITS["big"].rate)
+        if fleet.random.random() < 0.05:
+            arrivals = int(tokens)
+        else:
+            arrivals = min(int(tokens), int(fleet.random.random() * 2.5))
+        tokens -= arrivals
+        sent += arrivals
+        for _ in range(arrivals):
+            fleet.plan_request("big", at, fleet.random.choice(services))
+    fleet.run_until(22.0)
+    assert sent > 200
+    assert fleet.refusals["big"] == []
+    assert len(fleet.starts["big"]) == sent
+    for count in fleet.quota_messages.values():
+        assert count / 14.0 <= 16.0
+
+
+def test_workspace_over_its_limit_costs_the_others_nothing():
+    """Guards against a queue or buckets that one workspace fills."""
+    limits = simulation.make_limits(
+        loud=(40, 20), **{"w%d" % n: (8, 8) for n in range(6)}
+    )
+    fleet = start_fleet(1, limits)
+    fleet.plan_load("loud", 187.0, WARM_UP_S, 18.0)
+    for number in range(6):
+        fleet.plan_load("w%d" % number, 5.0, WARM_UP_S, 18.0)
+    fleet.run_until(20.0)
+    assert_within_limits(fleet, limits)
+    # All of the limit is used although most requests are refused.
+    started = len([at for at in fleet.starts["loud"] if at > 9.0])
+    assert started >= 0.9 * 40 * 9
+    for number in range(6):
+        assert fleet.refusals["w%d" % number] == []
+    for count in fleet.quota_messages.values():
+        assert count / 14.0 <= 16.0
+
+
+def test_partitioned_zone_spends_its_own_share():
+    """Guards against a partition that stops a zone, or frees it."""
+    fleet = start_fleet(2)
+    fleet.cut_zones(["z0"], ["z1", "z2"])
+    names = [n for n, s in fleet.states.items() if s.local_member.zone == "z0"]
+    for number in range(800):
+        fleet.plan_request("big", 10.0 + number * 0.01, name=names[0])
+    fleet.run_until(19.0)
+    started = len([at for at in fleet.starts["big"] if at > 12.0])
+    assert 0.8 * 40 / 3 <= started / 6.0 <= 1.2 * 40 / 3 + 2
+
+
+def test_host_that_is_cut_off_grants_the_share_of_one_candidate():
+    """Guards against a host that refuses all, or spends its zone's share."""
+    fleet = start_fleet(3)
+    fleet.cut("n1")
+    for number in range(1000):
+        fleet.plan_request("big", 6.0 + number * 0.015, name="n1")
+    fleet.run_until(21.0)
+    started = len([at for at in fleet.starts["big"] if at > 11.0])
+    assert 0.7 * 40 / 6 <= started / 10.0 <= 1.3 * 40 / 6 + 1
+
+
+def make_lone_state(limits, entries=None):
+    """Return a sole node that holds all tokens of its limits."""
+    state = support.make_state("n1")
+    state.start(0.0)
+    steps = [
+        events.ConfigurationUpdated(0.0, 1, limits),
+        events.WorkersRead(0.0, entries or [support.make_entry("w1")]),
+    ]
+    for event in steps:
+        support.reduce(state, event)
+    now = 0.0
+    while now < 10.0:
+        now += 0.05
+        support.reduce(state, events.Tick(now))
+    return state
+
+
+def ask(state, attempt_id, now, **fields):
+    """Return the answer to a grant request, or None."""
+    request = support.make_grant_request(
+        attempt_id, **({"workspace": "big"} | fields)
+    )
+    out = support.deliver_message(state, request, now, sender="10.0.0.9")
+    sent = [
+        effect.message
+        for effect in support.select_effects(out, effects.Send)
+        if effect.ip == "10.0.0.9"
+    ]
+    return sent[0] if sent else None
+
+
+def count_tokens(state, now):
+    limit = state.quotas.find_limit("big")
+    return state.quotas.find_bucket(limit, now).count_free()
+
+
+def test_request_that_is_sent_again_takes_one_token():
+    """Guards against lost answers that use up a quota."""
+    entries = [support.make_entry("w1", slots=50)]
+    state = make_lone_state(LIMITS, entries)
+    ask(state, "r1:1", 10.0)
+    left = count_tokens(state, 10.0)
+    for _ in range(3):
+        assert isinstance(ask(state, "r1:1", 10.0), messages.Grant)
+    assert count_tokens(state, 10.0) == left
+
+
+def test_retries_and_unlimited_workspaces_take_no_token():
+    """Guards against a quota that counts attempts."""
+    limits = simulation.make_limits(big=(1, 0), free=(0, 0))
+    entries = [support.make_entry("w1", slots=500)]
+    state = make_lone_state(limits, entries)
+    before = count_tokens(state, 10.0)
+    ask(state, "r1:2", 10.0, retry_count=1)
+    assert count_tokens(state, 10.0) == before
+    for number in range(100):
+        for name in ("free", "", "unknown"):
+            answer = ask(
+                state, "%s%d:1" % (name, number), 10.0, workspace=name
+            )
+            assert isinstance(answer, messages.Grant)
+
+
+def test_refused_and_withdrawn_requests_return_their_token():
+    """Guards against an overload that uses up the quota of its callers."""
+    state = make_lone_state(LIMITS)
+    before = count_tokens(state, 10.0)
+    ask(state, "r1:1", 10.0, service="nowhere")
+    assert count_tokens(state, 10.0) == pytest.approx(before)
+    for number in range(2, 6):
+        answer = ask(state, "r%d:1" % number, 10.0)
+    assert isinstance(answer, messages.GrantQueued)
+    assert count_tokens(state, 10.0) == pytest.approx(before - 4)
+    withdrawal = messages.GrantWithdrawal("orders", "r5:1")
+    support.deliver_message(state, withdrawal, 10.0)
+    assert count_tokens(state, 10.0) == pytest.approx(before - 3)
+    support.deliver_message(state, withdrawal, 10.0)
+    assert count_tokens(state, 10.0) == pytest.approx(before - 3)
+
+
+def test_request_over_the_limit_is_refused_with_a_time_and_a_line():
+    """Guards against callers that come back before there is a token."""
+    limits = simulation.make_limits(big=(2, 0))
+    entries = [support.make_entry("w1", slots=500)]
+    state = make_lone_state(limits, entries)
+    answers = [ask(state, "r%d:1" % n, 10.0) for n in range(20)]
+    refusals = [a for a in answers if isinstance(a, messages.GrantRefusal)]
+    assert len(refusals) == 5  # three quarters of the slack are granted
+    reasons = {refusal.reason for refusal in refusals}
+    assert reasons == {scheduling.RefusalReason.QUOTA}
+    first = refusals[0].retry_after
+    assert first == pytest.approx(0.5, abs=0.02)
+    assert refusals[3].retry_after == pytest.approx(2.0, abs=0.1)
+    assert isinstance(ask(state, "x:1", 10.0 + first), messages.Grant)
+    request = support.make_grant_request("y:1", workspace="big")
+    out = support.deliver_message(state, request, 10.0 + first)
+    (line,) = simulation.list_quota_lines(out)
+    assert line["workspace"] == "big" and line["limit"] == 2.0
+    assert line["tokens"] < 1.0 and line["cause"] == "alone"
+
+
+def test_unsolicited_late_and_repeated_transfers_are_dropped():
+    """Guards against tokens that exist twice."""
+    entries = [support.make_entry("w1", slots=500)]
+    state = make_lone_state(LIMITS, entries)
+    other = support.make_member("n2", zone="zb")
+    state.membership.add_candidate(other)
+    for number in range(int(count_tokens(state, 10.0))):
+        ask(state, "a%d:1" % number, 10.0)
+    request = support.make_grant_request("r1:1", workspace="big")
+    out = support.deliver_message(state, request, 10.0)
+    (asked,) = [
+        effect.message
+        for effect in support.select_effects(out, effects.Send)
+        if isinstance(effect.message, messages.QuotaRequest)
+    ]
+    before = count_tokens(state, 10.01)
+    rows = [["big", 5.0]]
+    transfer = messages.QuotaTransfer("n2", asked.request_id, rows)
+    support.deliver_message(state, transfer, 10.01, sender="10.0.0.7")
+    unknown = messages.QuotaTransfer("n2", "1-77", rows)
+    support.deliver_message(state, unknown, 10.01, sender=other.ip)
+    assert count_tokens(state, 10.01) == before
+    support.deliver_message(state, transfer, 10.01, sender=other.ip)
+    after = count_tokens(state, 10.01)
+    assert after == pytest.approx(before + 4.0)  # one for the waiting request
+    support.deliver_message(state, transfer, 10.01, sender=other.ip)
+    assert count_tokens(state, 10.01) == after
+
+
+def test_deployment_without_workspaces_has_no_timer_and_no_new_field():
+    """Guards against a change for deployments without workspaces."""
+    state = support.make_state("n1")
+    state.start(0.0)
+    support.reduce(state, events.ConfigurationUpdated(0.0, 1))
+    support.reduce(state, events.Tick(0.0))
+    assert not state.has_quota_timer
+    assert state.quotas.measure_gauges() == {}
+    state.membership.add_candidate(support.make_member("n2", zone="zb"))
+    out = support.reduce(state, events.Tick(0.5))
+    beats = [
+        effect.message
+        for effect in support.select_effects(out, effects.Send)
+        if isinstance(effect.message, messages.Heartbeat)
+    ]
+    assert beats and {beat.coordinator for beat in beats} == {""}
