Merge the quotas of workspaces

The workspaces of the node tests for keys get no limit: a bucket starts empty, so a request in the first second after a start may get 429.

--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -7,6 +7,7 @@
 from acaciafield.gateway import freshness
 from acaciafield.gateway import members
 from acaciafield.gateway import pauses
+from acaciafield.gateway import quotas
 from acaciafield.gateway import rosters
 from acaciafield.gateway import scheduling
 from acaciafield import structs
@@ -52,6 +53,18 @@
     __slots__ = ("version", "ip", "announced_at")
 
 
+class QuotaTimer(structs.Struct):
+    """Timer that checks which workspaces run low on tokens."""
+
+    __slots__ = ()
+
+
+class QuotaWaitTimer(structs.Struct):
+    """Timer that refuses the requests that got no token in time."""
+
+    __slots__ = ()
+
+
 class NodeState:
     """State of a gateway's node, except its own requests.
 
@@ -81,6 +94,9 @@
         "crashes",
         "evidence_batches",
         "pauses",
+        "quotas",
+        "exchange",
+        "has_quota_timer",
         "persisted_counts",
         "next_persist_at",
         "has_written_crashes",
@@ -118,6 +134,9 @@
         self.crashes = crashes.CrashLedger()
         self.evidence_batches = evidence_batches.EvidenceBatches()
         self.pauses = pauses.Pauses()
+        self.quotas = quotas.Quotas(terms)
+        self.exchange = quotas.Exchange()
+        self.has_quota_timer = False
         self.persisted_counts = []
         self.next_persist_at = 0.0
         self.has_written_crashes = False
@@ -197,6 +216,7 @@
     def apply_terms(self, terms):
         """Apply the operator's changed terms to all schedulers."""
         self.terms = terms
+        self.quotas.terms = terms
         for scheduler in self.schedulers.values():
             scheduler.budget.ratio = terms.ratio
             scheduler.budget.slack = terms.slack
--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from acaciafield.gateway import attempts
+from acaciafield.gateway import scheduling
 from acaciafield import outcomes
 from acaciafield import structs
 from acaciafield_daemon.gateway import upstream
@@ -12,17 +13,38 @@
 Ending = outcomes.Ending
 
 UNAUTHORIZED_STATUS = 401
+LIMITED_STATUS = 429
+UNAVAILABLE_STATUS = 503
+LIMITED = "limited"  # outcome of a request over the quota
 DEFAULT_TIMEOUT_S = 30.0  # for a caller that sends no deadline
 
 
 class NoGrant(structs.Struct):
     """An attempt without a grant.
 
-    ``retry_after`` is in seconds, or None; ``status`` is for the caller.
+    ``retry_after`` is in seconds, or None. ``refused_status`` is the status
+    for the caller if a check of the node itself refused the attempt.
     """
 
-    __slots__ = ("reason", "retry_after", "status")
-    DEFAULTS = {"status": 503}
+    __slots__ = ("reason", "retry_after", "refused_status")
+    DEFAULTS = {"refused_status": None}
+
+    @property
+    def status(self):
+        """The status of the answer if no attempt may have run."""
+        if self.refused_status is not None:
+            return self.refused_status
+        return LIMITED_STATUS if self.is_limited else UNAVAILABLE_STATUS
+
+    @property
+    def outcome(self):
+        """The name of this end of a request in the log and the metrics."""
+        return LIMITED if self.is_limited else "refused"
+
+    @property
+    def is_limited(self):
+        """Whether the workspace is over its quota."""
+        return self.reason == scheduling.RefusalReason.QUOTA
 
 
 class Call:
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -25,6 +25,8 @@
 STOPPING_REASON = "stopping"
 STOPPING_RETRY_AFTER_S = 0.05  # other nodes can serve the request at once
 OVERLOAD_RETRY_AFTER_S = 0.3  # where no coordinator gave a time
+# Failed requests are all logged; those over a quota may be too many.
+LOG_KINDS = {"passed": "served", calls.LIMITED: "limited"}
 
 
 class RequestServer:
@@ -430,13 +432,12 @@
                 ),
                 body=last_failure.body,
             )
-        status, retry_after = 503, OVERLOAD_RETRY_AFTER_S
-        if isinstance(last_failure, calls.NoGrant):
-            status = last_failure.status
-            retry_after = last_failure.retry_after
-        self._record_end(call, "refused", status)
+        refusal = last_failure
+        if not isinstance(refusal, calls.NoGrant):
+            refusal = calls.NoGrant("", OVERLOAD_RETRY_AFTER_S)
+        self._record_end(call, refusal.outcome, refusal.status)
         return responses.make_error_response(
-            status, request_id, header_names, retry_after
+            refusal.status, request_id, header_names, refusal.retry_after
         )
 
     def _refuse_request(self, request_id, reason, retry_after):
@@ -450,7 +451,7 @@
         latency = self.clock() - call.started
         self.metrics.count("requests", route=call.route.name, outcome=outcome)
         self.metrics.record_latency(call.route.name, latency)
-        kind = "served" if outcome == "passed" else "failed"
+        kind = LOG_KINDS.get(outcome, "failed")
         self.log.write(
             kind,
             request=call.outgoing.request_id,
--- a/tests/workspace_support.py
+++ b/tests/workspace_support.py
@@ -11,7 +11,7 @@
 
 COLUMNS = ["name", "apiKeys", "priority", "ratePerS", "burst"]
 WORKSPACE_ROWS = (
-    ["w-large", ["key-large", "key-large-2"], 0, 100, 20],
+    ["w-large", ["key-large", "key-large-2"], 0, None, None],
     ["w-small", ["key-small"], None, None, None],
 )
 
