--- a/bench/quota_traffic.py
+++ b/bench/quota_traffic.py
@@ -20,7 +20,7 @@
 LARGE_RATE = 60.0
 SMALL_RATE = 2.0
 LIMIT_RATIO = 1.6
-LOUD_FACTOR = 7.5
+NOISY_FACTOR = 7.5
 BEGIN_S, END_S = 6.0, 16.0
 QUOTA_MESSAGES = ("QuotaRequest", "QuotaTransfer")
 
@@ -101,7 +101,7 @@
     if arguments:
         measure_windows(int(arguments[0]), int(arguments[1]))
     else:
-        for factor in (1.0, LOUD_FACTOR):
+        for factor in (1.0, NOISY_FACTOR):
             measure_traffic(factor)
     return 0
 
--- a/packages/coordination/acaciafield/gateway/quota_sharing.py
+++ b/packages/coordination/acaciafield/gateway/quota_sharing.py
@@ -19,7 +19,7 @@
 # With round trips it must be less than grant_requests.FIRST_TIMEOUT_S, after
 # which the node asks another coordinator, which takes a second token.
 MAX_WAIT_S = 0.04
-DRY_TIME_S = 0.1  # after the others had no tokens
+EXHAUSTED_TIME_S = 0.1  # after the others had no tokens
 # After that, in which only planned requests are sent for the workspace, so
 # that one over its limit does not use up the urgent requests of the others.
 NOT_URGENT_S = 0.15
@@ -105,7 +105,7 @@
     cause = None
     if not _list_others(state, now):
         cause = "alone"
-    elif now < bucket.dry_until:
+    elif now < bucket.exhausted_until:
         cause = "others-empty"
     elif len(exchange.waiting) >= MAX_WAITING:
         cause = "many-waiting"
@@ -137,7 +137,9 @@
     if exchange.urgent < 1.0 or now < exchange.sent_at + MIN_URGENT_PAUSE_S:
         return
     if all(
-        state.quotas.was_dry(waiting.request.workspace, now - NOT_URGENT_S)
+        state.quotas.was_exhausted(
+            waiting.request.workspace, now - NOT_URGENT_S
+        )
         for waiting in exchange.waiting.values()
     ):
         return
@@ -243,7 +245,7 @@
     rows = []
     waiting_counts = exchange.count_waiting()
     for name in dict.fromkeys([*waiting_counts, *quotas.list_active(now)]):
-        if quotas.was_dry(name, now + DRY_TIME_S / 2):
+        if quotas.was_exhausted(name, now + EXHAUSTED_TIME_S / 2):
             continue
         waiting = waiting_counts[name]
         missing = quotas.find_shortage(name, waiting, now)
@@ -313,16 +315,16 @@
             quotas.receive(name, amount, pending.sent_at, now)
     if not pending.ips:
         del exchange.rounds[number]
-        _mark_dry(pending, state, now)
+        _mark_exhausted(pending, state, now)
     _retry_waiting(state, now, out)
 
 
-def _mark_dry(pending, state, now):
+def _mark_exhausted(pending, state, now):
     """Record the workspaces that no other coordinator can help now."""
     for name in pending.list_unmet():
         bucket = state.quotas.buckets.get(name)
         if bucket is not None and not bucket.has_token():
-            bucket.dry_until = now + DRY_TIME_S
+            bucket.exhausted_until = now + EXHAUSTED_TIME_S
 
 
 def _has_token(request, state, now):
@@ -341,7 +343,7 @@
         request = waiting.request
         if _has_token(request, state, now):
             handlers.receive_message(request, state, waiting.sender, now, out)
-        elif state.quotas.was_dry(request.workspace, now):
+        elif state.quotas.was_exhausted(request.workspace, now):
             del exchange.waiting[attempt_id]
             _refuse(request, "others-empty", state, waiting.sender, now, out)
         else:
--- a/packages/coordination/acaciafield/gateway/quotas.py
+++ b/packages/coordination/acaciafield/gateway/quotas.py
@@ -64,7 +64,7 @@
         "demand",
         "demand_at",
         "retry_at",
-        "dry_until",
+        "exhausted_until",
     )
 
     def __init__(self, now):
@@ -75,7 +75,7 @@
         self.demand = 0.0
         self.demand_at = now
         self.retry_at = now
-        self.dry_until = -math.inf
+        self.exhausted_until = -math.inf
 
     def measure_demand(self, now):
         """Return the recent requests per second."""
@@ -400,10 +400,10 @@
         most = limit.burst + self.terms.quota_slack + limit.rate
         return max(0.0, min(missing, most))
 
-    def was_dry(self, name, at):
+    def was_exhausted(self, name, at):
         """Return whether the others were found to have too few tokens."""
         bucket = self.buckets.get(name)
-        return bucket is not None and at < bucket.dry_until
+        return bucket is not None and at < bucket.exhausted_until
 
     def record_demand(self, limit, now):
         """Count a new request of a workspace."""
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -148,16 +148,16 @@
 def test_workspace_over_its_limit_costs_the_others_nothing():
     """Guards against a queue or buckets that one workspace fills."""
     limits = simulation.make_limits(
-        loud=(40, 20), **{"w%d" % n: (8, 8) for n in range(6)}
+        noisy=(40, 20), **{"w%d" % n: (8, 8) for n in range(6)}
     )
     fleet = start_fleet(1, limits)
-    fleet.plan_load("loud", 187.0, WARM_UP_S, 18.0)
+    fleet.plan_load("noisy", 187.0, WARM_UP_S, 18.0)
     for number in range(6):
         fleet.plan_load("w%d" % number, 5.0, WARM_UP_S, 18.0)
     fleet.run_until(20.0)
     assert_within_limits(fleet, limits)
     # All of the limit is used although most requests are refused.
-    started = len([at for at in fleet.starts["loud"] if at > 9.0])
+    started = len([at for at in fleet.starts["noisy"] if at > 9.0])
     assert started >= 0.9 * 40 * 9
     for number in range(6):
         assert fleet.refusals["w%d" % number] == []
