Bound hedged requests by a share that the operator sets

A hedge was an ordinary further attempt: the coordinator could not tell it from a retry, queued it, and could send a copy of a suspect request once its first attempt hung; the attempt that lost counted as a failure of its worker, and was cancelled only after a streamed answer had ended. A refused hedge also used up the retry of a first attempt that failed meanwhile.

GrantRequest and GrantNotice now say that an attempt is a hedge, AttemptReport that it was superseded. acaciafield.gateway.hedging decides: with extra-work below 1, a hedge is due where a second attempt saves a mean latency, by the recent distribution of the route, needs spare capacity and the share, and is never queued. The default 1 keeps the earlier delay, queue and budget. The first answer cancels the other attempt at once.

Run: tests/test_gateway_hedging.py, test_gateway_scheduling.py, _settings, _node, _coordination, test_placing.py: pass (146 tests); lint.

--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -21,6 +21,9 @@
 HANG_LATENCY_RATIO = 3.0
 # Successes credited to each worker when the risk of a hang is estimated.
 HANG_PRIOR_SUCCESSES = 1.0
+# Time for which an attempt that a hedge superseded counts as a possible hang.
+SUPERSEDED_HANG_S = 4.0
+MAX_SUPERSEDED = 12  # latest superseded attempts recorded per worker
 MAX_SUCCESS_TIMES = 12  # latest successes recorded per worker
 MAX_RESETS = 8  # requests without an answer that are recorded per worker
 RESTART_TIME_S = 1.0  # a worker that crashed is unavailable for longer
@@ -126,6 +129,7 @@
         "reset_at",
         "resets",
         "unanswered",
+        "superseded",
     )
 
     def __init__(self, entry, now):
@@ -147,6 +151,8 @@
         self.resets = collections.deque(maxlen=MAX_RESETS)
         # Time, fingerprint and attempt id of requests without an answer.
         self.unanswered = collections.deque(maxlen=MAX_RESETS)
+        # Start and end of slow attempts that a hedge superseded.
+        self.superseded = collections.deque(maxlen=MAX_SUPERSEDED)
 
     def update_entry(self, entry, now):
         """Replace the entry; a restart clears the recorded failures."""
@@ -157,6 +163,7 @@
             self.connect_backoffs.clear()
             self.resets.clear()
             self.unanswered.clear()
+            self.superseded.clear()
         self.entry = entry
         self.warm_at = now + entry.warm_up
 
@@ -201,6 +208,14 @@
             self.failures += 1
             self.decay = min(MAX_RISK_DECAY_S, RISK_DECAY_S * self.failures)
 
+    def record_superseded(self, started, now):
+        """Record a slow attempt that a hedge superseded.
+
+        It is no failure, but a worker that answers nothing would otherwise
+        look idle as soon as its attempts are cancelled.
+        """
+        self.superseded.append((started, now))
+
     def is_canary_due(self, now):
         """Return whether a canary request may test for a recovery.
 
@@ -248,8 +263,9 @@
     def estimate_hang_risk(self, latencies, now):
         """Return the risk that the in-flight requests get no answer.
 
-        It weighs the requests in flight for far longer than usual against
-        the successes since the oldest of them started.
+        It weighs the requests in flight for far longer than usual, and those
+        that a hedge superseded after such a time, against the successes
+        since the oldest of them started.
         """
         overdue, oldest = 0, now
         for active in self.in_flight.values():
@@ -259,6 +275,10 @@
             if now - active.started > HANG_LATENCY_RATIO * latency.mean:
                 overdue += 1
                 oldest = min(oldest, active.started)
+        for started, ended in self.superseded:
+            if now - ended <= SUPERSEDED_HANG_S:
+                overdue += 1
+                oldest = min(oldest, started)
         if not overdue:
             return 0.0
         successes = sum(1 for at in self.succeeded_at if at > oldest)
--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -173,6 +173,8 @@
         request.time_left,
         request.retry_count,
         request.fingerprint,
+        request.workspace,
+        request.is_hedge,
     )
     _notify_evidence_holders(request.service, notice, state, out)
 
@@ -185,6 +187,8 @@
         "store_age": state.get_store_age(state.now),
         "waiting": len(scheduler.queue),
     }
+    if request.is_hedge:
+        fields["hedge"] = True
     if isinstance(answer, messages.GrantRefusal):
         fields["reason"] = answer.reason
         fields["fingerprint"] = request.fingerprint
--- a/packages/coordination/acaciafield/gateway/evidence.py
+++ b/packages/coordination/acaciafield/gateway/evidence.py
@@ -128,7 +128,10 @@
     if latency is None or not latency.count:
         return
     if report.latency > CANCEL_LATENCY_RATIO * latency.mean:
-        worker.record_failure(now, CANCEL_FAILURE_WEIGHT)
+        if report.is_superseded:
+            worker.record_superseded(now - report.latency, now)
+        else:
+            worker.record_failure(now, CANCEL_FAILURE_WEIGHT)
         _record_unanswered(worker, report, now)
 
 
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -15,7 +15,8 @@
     ``target`` is the latency objective and ``time_left`` the time until
     the deadline, in seconds; ``avoided_workers`` lists worker identifiers.
     ``workspace`` is the name of the caller's workspace, "" without one, and
-    ``workspace_priority`` its priority, None without one.
+    ``workspace_priority`` its priority, None without one. ``is_hedge`` is set
+    if an earlier attempt has not ended yet.
     """
 
     KIND = 1
@@ -35,15 +36,20 @@
         "fingerprint",
         "workspace",
         "workspace_priority",
+        "is_hedge",
     )
-    DEFAULTS = {"workspace": "", "workspace_priority": None}
+    DEFAULTS = {
+        "workspace": "",
+        "workspace_priority": None,
+        "is_hedge": False,
+    }
 
 
 class Grant(structs.Struct):
     """A coordinator's grant of a worker for one attempt.
 
-    ``hedge_after`` is the latency after which a second attempt is likely
-    to finish first; ``granted_by`` is the coordinator's name.
+    ``hedge_after`` is the time after which a second attempt is worth its
+    cost, None for never; ``granted_by`` is the coordinator's name.
     ``entry_version`` is the version [incarnation, sequence] of the worker's
     entry at the coordinator, whose list is ``list_age`` seconds old;
     ``fingerprint`` is of the request.
@@ -96,7 +102,8 @@
     answer; ``load`` the worker's [running, waiting, slots] or None.
     ``incarnation`` is that of the worker's entry as granted; the worker may
     announce that it is ``leaving`` or request a ``pause``, in seconds,
-    from ``node``.
+    from ``node``. ``is_superseded`` is set if the attempt was cancelled
+    because another one of the request was answered first.
     """
 
     KIND = 6
@@ -114,14 +121,20 @@
         "incarnation",
         "leaving",
         "pause",
+        "is_superseded",
     )
-    DEFAULTS = {"incarnation": 0, "leaving": False, "pause": None}
+    DEFAULTS = {
+        "incarnation": 0,
+        "leaving": False,
+        "pause": None,
+        "is_superseded": False,
+    }
 
 
 class GrantNotice(structs.Struct):
     """A coordinator's notice of a grant to the other coordinators.
 
-    ``workspace`` is that of the GrantRequest.
+    ``workspace`` and ``is_hedge`` are those of the GrantRequest.
     """
 
     KIND = 7
@@ -135,8 +148,9 @@
         "retry_count",
         "fingerprint",
         "workspace",
+        "is_hedge",
     )
-    DEFAULTS = {"workspace": ""}
+    DEFAULTS = {"workspace": "", "is_hedge": False}
 
 
 class Heartbeat(structs.Struct):
--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -3,6 +3,7 @@
 import random
 
 from acaciafield.gateway import crashes
+from acaciafield.gateway import hedging
 from acaciafield.gateway import members
 from acaciafield.gateway import pauses
 from acaciafield.gateway import rosters
@@ -62,6 +63,7 @@
         "roster",
         "crashes",
         "pauses",
+        "hedge_policy",
         "persisted_counts",
         "next_persist_at",
         "coordinating_until",
@@ -91,6 +93,7 @@
         self.roster = rosters.Roster()
         self.crashes = crashes.CrashLedger()
         self.pauses = pauses.Pauses()
+        self.hedge_policy = hedging.HedgePolicy()
         self.persisted_counts = []
         self.next_persist_at = 0.0
         self.coordinating_until = 0.0
@@ -121,6 +124,7 @@
             scheduler = scheduling.Scheduler(
                 service, self.terms, self.random, self.now, self.crashes
             )
+            scheduler.hedges.policy = self.hedge_policy
             self.schedulers[service] = scheduler
             self.update_scheduler(scheduler)
         return scheduler
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -14,6 +14,7 @@
 from acaciafield.gateway import crashes
 from acaciafield.gateway import evidence
 from acaciafield.gateway import floors
+from acaciafield.gateway import hedging
 from acaciafield.gateway import messages
 from acaciafield.gateway import selection
 from acaciafield import outcomes
@@ -36,7 +37,6 @@
 NO_WORKER_RETRY_AFTER_S = 0.5
 # Latency assumed before the first answer, as a share of the target.
 INITIAL_LATENCY_SHARE = 0.25
-MIN_HEDGE_DELAY_S = 0.05
 # Within this time a granted request may not have reached its worker yet.
 GRANT_DELIVERY_TIME_S = 0.25
 # Queued requests without a worker after which one dispatch stops trying.
@@ -143,6 +143,7 @@
         "is_below_floor",
         "last_request_at",
         "recent_results",
+        "hedges",
     )
 
     def __init__(self, service, terms, random, started=None, ledger=None):
@@ -163,6 +164,7 @@
         self.is_below_floor = False
         self.last_request_at = None
         self.recent_results = budgets.DecayingShares(floors.WINDOW_S)
+        self.hedges = hedging.HedgeControl(terms.window)
 
     def update_entries(self, entries, now):
         """Replace the list of workers, but preserve the state of each."""
@@ -265,11 +267,13 @@
             and not quarantined
             and self._is_still_valid(active, request)
         ):
-            return self._make_grant(request, active.worker)
+            return self._make_grant(request, active.worker, now)
         self._remove_in_flight(request.attempt_id)
         if any(q.request.attempt_id == request.attempt_id for q in self.queue):
             return messages.GrantQueued(request.attempt_id)
-        refusal = self._find_refusal(request, now)
+        refusal = self._find_refusal(
+            request, now
+        ) or self.hedges.prepare_hedge(request, self, now)
         if refusal is not None:
             return refusal
         worker = None
@@ -358,6 +362,10 @@
         return False
 
     def _enqueue(self, request, sender, now):
+        if not self.hedges.may_queue(request):
+            return self.hedges.refuse(
+                request, hedging.HedgeRefusal.NO_CAPACITY, self.latencies
+            )
         max_wait = min(
             MAX_WAIT_SHARE * request.target, MAX_WAIT_SHARE * request.time_left
         )
@@ -464,9 +472,10 @@
     def _grant(self, request, worker, now):
         self._count_attempt(request, now)
         self._add_in_flight(request, worker, now, granted_here=True)
-        return self._make_grant(request, worker)
+        return self._make_grant(request, worker, now)
 
     def _count_attempt(self, message, now):
+        self.hedges.count_attempt(message, now)
         if message.retry_count:
             self.budget.add_repeat(now)
         else:
@@ -498,14 +507,13 @@
             active.worker.in_flight.pop(attempt_id, None)
         return active
 
-    def _make_grant(self, request, worker):
+    def _make_grant(self, request, worker, now):
         latency = self._find_latency(request.route, request.target)
-        hedge_after = max(MIN_HEDGE_DELAY_S, latency.tail)
         return messages.Grant(
             request.attempt_id,
             worker.entry.worker_id,
             worker.entry.address,
-            round(hedge_after, 3),
+            self.hedges.find_delay(request.route, latency.tail, now),
             entry_version=list(worker.entry.version),
             fingerprint=request.fingerprint,
         )
@@ -599,6 +607,7 @@
         ran_alone = worker.ran_alone(now)
         if report.load is not None:
             self._remove_lost(worker, report.load, now)
+        self.hedges.record_report(report, self.latencies, now)
         if succeeded:
             # A first answer sets the mean: 4.0 is 1 / INITIAL_LATENCY_SHARE.
             self._find_latency(report.route, report.latency * 4.0)
--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -17,7 +17,8 @@
 class NoGrant(structs.Struct):
     """An attempt without a grant; ``retry_after`` is in seconds."""
 
-    __slots__ = ("reason", "retry_after")
+    __slots__ = ("reason", "retry_after", "is_hedge")
+    DEFAULTS = {"is_hedge": False}
 
 
 class Call:
@@ -30,7 +31,9 @@
     ``changed`` is set when an attempt goes to a worker and when the call
     is aborted, as ``is_aborted`` then says.
     ``ended_attempts`` lists the GrantRequest, Grant and
-    upstream.AttemptResult of each attempt that ended.
+    upstream.AttemptResult of each attempt that ended; ``is_answered`` is
+    set once one has the answer for the caller. ``hedges`` has the numbers of
+    the attempts that are hedges.
     """
 
     __slots__ = (
@@ -49,6 +52,8 @@
         "changed",
         "is_aborted",
         "ended_attempts",
+        "is_answered",
+        "hedges",
     )
 
     def __init__(self, outgoing, route, started, time_left, fingerprint):
@@ -69,6 +74,8 @@
         self.changed = asyncio.Event()
         self.is_aborted = False
         self.ended_attempts = []
+        self.is_answered = False
+        self.hedges = set()
 
     def abort(self):
         """End the call without waiting for its attempts."""
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -66,6 +66,7 @@
         self.state = node_state.NodeState(
             local_member, options.terms, local_member.incarnation
         )
+        self.state.hedge_policy.share = options.limits.hedge_share
         self.pages = pages.NodePages(self)
         documents = {
             "configuration": lambda: self.raw_configuration,
@@ -427,6 +428,7 @@
         self.options.max_address_ttl = found.max_address_ttl
         self.options.limits = found.limits
         self.state.apply_terms(found.terms)
+        self.state.hedge_policy.share = found.limits.hedge_share
         self.log.write("reload", terms=repr(found.terms), grace=found.grace)
 
     async def _stop(self):
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -9,6 +9,7 @@
 from acaciafield import outcomes
 from acaciafield_daemon.gateway import bodies
 from acaciafield_daemon.gateway import calls
+from acaciafield_daemon.gateway import hedges
 from acaciafield_daemon.gateway import responses
 from acaciafield_daemon.gateway import upstream
 
@@ -171,7 +172,7 @@
                         return self._answer_abort(call, last_failure)
                     if self.clock() >= call.deadline:
                         return self._answer_timeout(call, last_failure)
-                    call.hedge_after = None
+                    hedges.record_due(call)
                     self._start_attempt(call, running)
                     continue
                 for task in done:
@@ -230,6 +231,8 @@
 
     async def _process_result(self, call, result, request, running):
         if isinstance(result, calls.NoGrant):
+            if hedges.must_retry(call, result, len(running), self.clock()):
+                self._start_attempt(call, running)
             return None
         call.retry_state.count_attempt(result.ending)
         time_left = call.deadline - self.clock()
@@ -237,6 +240,9 @@
             result.ending, time_left, len(running)
         )
         if step is Step.FORWARD:
+            hedges.record_answer(call, result, self.metrics)
+            for task in running:
+                task.cancel()
             return await self._forward_answer(call, result, request)
         if step is Step.RETRY:
             self._start_attempt(call, running)
@@ -256,6 +262,7 @@
             retry_after = (
                 answer.retry_after if answer else OVERLOAD_RETRY_AFTER_S
             )
+            is_hedge = number in call.hedges
             self.log.write(
                 "refused",
                 request=call.outgoing.request_id,
@@ -263,8 +270,11 @@
                 attempt=number,
                 reason=reason,
                 retry_after=retry_after,
+                hedge=is_hedge,
             )
-            return calls.NoGrant(reason, retry_after)
+            if is_hedge:
+                hedges.count(self.metrics, call, hedges.Result.REFUSED)
+            return calls.NoGrant(reason, retry_after, is_hedge)
         if not self._may_send(call.caller_deadline):
             self.grant_requester.withdraw_request(grant_request)
             return self._refuse_to_send(call, number)
@@ -298,9 +308,12 @@
             call.retry_state.is_last(number),
             list(call.tried_workers),
             call.fingerprint,
+            is_hedge=number in call.hedges,
         )
 
     async def _send_attempt(self, call, grant_request, grant):
+        if grant_request.is_hedge:
+            hedges.count(self.metrics, call, hedges.Result.SENT)
         call.tried_workers.append(grant.worker_id)
         call.sent_at = self.clock()
         call.hedge_after = grant.hedge_after
@@ -334,6 +347,7 @@
                 service=call.service,
                 limit=result.limit.value,
             )
+        is_superseded = hedges.is_superseded(call, result)
         report = messages.AttemptReport(
             call.service,
             grant_request.attempt_id,
@@ -348,6 +362,7 @@
             grant.entry_version[0],
             result.leaving,
             result.pause,
+            is_superseded,
         )
         self.grant_requester.send_report(report, grant.granted_by)
         self.log.write(
@@ -358,6 +373,8 @@
             granter=grant.granted_by,
             list_age=grant.list_age,
             repeats=grant_request.retry_count,
+            hedge=grant_request.is_hedge,
+            superseded=is_superseded,
             fingerprint=call.fingerprint,
             left=round(grant_request.time_left, 3),
             ending=result.ending.value,
--- a/packages/daemon/acaciafield_daemon/gateway/settings.py
+++ b/packages/daemon/acaciafield_daemon/gateway/settings.py
@@ -40,7 +40,9 @@
         0.0,
         1.0,
         "Largest share of a service's requests that get a second attempt "
-        "because the first is slow, within the retry budget; 0 means none.",
+        "because the first is slow, within the retry budget; 0 means none, 1 "
+        "leaves it to the retry budget alone; below 1, none is sent near the "
+        "capacity of the service.",
     ),
 )
 
