Replace worker answers with a status above 599, and test invalid ones

A status of 600 to 999 was forwarded to callers with the worker's signature. RFC 9110, section 15, calls it invalid and has clients treat it as a server error; a caller's client may fail on it as on 000. Such an answer now counts as no answer, as one below 200 does: a read goes to another worker, an order gets 502 without the signature.

--- a/packages/daemon/acaciafield_daemon/gateway/upstream.py
+++ b/packages/daemon/acaciafield_daemon/gateway/upstream.py
@@ -29,7 +29,9 @@
 READ_BUFFER_BYTES = 32768  # of one connection
 MAX_HEAD_LINE_BYTES = 65536  # of one line or field of a worker's answer
 TCP_USER_TIMEOUT_OPTION = getattr(socket, "TCP_USER_TIMEOUT", 18)
-MIN_FINAL_STATUS = 200
+# An answer with another status is not forwarded. RFC 9110, section 15, says
+# that those outside 100 to 599 are invalid, and clients may fail on them.
+FINAL_STATUSES = range(200, 600)
 SHED_STATUS = 503
 MISDIRECTED_STATUS = 421
 SECONDS_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -234,7 +236,7 @@
         headers = response.headers
         if self._read_request_id(request, response) != request.request_id:
             return Ending.GARBLED
-        if response.status < MIN_FINAL_STATUS:
+        if response.status not in FINAL_STATUSES:
             return Ending.GARBLED
         if response.status == MISDIRECTED_STATUS:
             return Ending.MISDIRECTED
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -288,3 +288,17 @@
 def test_pause_is_read_from_refusals_only(value, pause):
     assert send(add_field(SHED_ANSWER, b"Retry-After", value)).pause == pause
     assert send(add_field(VALID_ANSWER, b"Retry-After", value)).pause is None
+
+
+@pytest.mark.parametrize(
+    "status",
+    [b"", b"2", b"20", b"000", b"099", b"0200", b"2000", b"-200", b"+200"]
+    + [b"20x", b"abc", b"0xc8", b"2 00", b"199", b"600", b"700", b"999"],
+)
+@pytest.mark.parametrize("data", [VALID_ANSWER, SHED_ANSWER])
+def test_answer_without_a_valid_status_is_no_answer(status, data):
+    # It may have run, whatever the rest of the answer says.
+    status_line = b"HTTP/1.1 %s Odd" % status
+    _, _, rest = data.partition(b"\r\n")
+    result = send(status_line + b"\r\n" + rest)
+    assert result.ending in (Ending.RESET, Ending.GARBLED)
