Check a gateway's configuration document before it is sent

A document for op/config could only be tried by sending it: the nodes log what they cannot read, but not entries that never match or limits that contradict each other. `acaciafield check-gateway-config` reads a file with the nodes' decoder and names each fault with its place, among them a host and prefix used twice, a service that is not listed, keys held twice, workspaces without a key, a timeout under the target and a burst that the quota window cannot refill. With the document in force it shows what differs. Keys appear in no output. The command is loaded when it is used, as the platform's decoder is no installed package.

--- a/packages/operator/acaciafield_operator/main.py
+++ b/packages/operator/acaciafield_operator/main.py
@@ -58,6 +58,13 @@
     return _print_findings(file, findings, as_json)
 
 
+app.command(
+    # Loaded when it is used, as it needs the platform's decoder.
+    "acaciafield_operator.gateway_check:check_gateway_config",
+    name="check-gateway-config",
+)
+
+
 @config.command(name="write")
 def write_sample(file: str = "-"):
     """Write a sample file of classes of work for editing.
