--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -174,7 +174,7 @@
         request.retry_count,
         request.fingerprint,
         request.workspace,
-        request.is_hedge,
+        is_hedge=request.is_hedge,
     )
     _notify_evidence_holders(request.service, notice, state, out)
 
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -274,7 +274,7 @@
             )
             if is_hedge:
                 hedges.count(self.metrics, call, hedges.Result.REFUSED)
-            return calls.NoGrant(reason, retry_after, is_hedge)
+            return calls.NoGrant(reason, retry_after, is_hedge=is_hedge)
         if not self._may_send(call.caller_deadline):
             self.grant_requester.withdraw_request(grant_request)
             return self._refuse_to_send(call, number)
@@ -362,7 +362,7 @@
             grant.entry_version[0],
             result.leaving,
             result.pause,
-            is_superseded,
+            is_superseded=is_superseded,
         )
         self.grant_requester.send_report(report, grant.granted_by)
         self.log.write(
