--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -183,6 +183,8 @@
         request.time_left,
         request.retry_count,
         request.fingerprint,
+        request.workspace,
+        is_hedge=request.is_hedge,
     )
     evidence_batches.queue_message(state, request.service, notice, state.now)
 
@@ -211,6 +213,8 @@
         "store_age": state.get_store_age(state.now),
         "waiting": len(scheduler.queue),
     }
+    if request.is_hedge:
+        fields["hedge"] = True
     if isinstance(answer, messages.GrantRefusal):
         fields["reason"] = answer.reason
         fields["fingerprint"] = request.fingerprint
--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -5,6 +5,7 @@
 from acaciafield.gateway import crashes
 from acaciafield.gateway import evidence_batches
 from acaciafield.gateway import freshness
+from acaciafield.gateway import hedging
 from acaciafield.gateway import members
 from acaciafield.gateway import pauses
 from acaciafield.gateway import quotas
@@ -97,6 +98,7 @@
         "quotas",
         "exchange",
         "has_quota_timer",
+        "hedge_policy",
         "persisted_counts",
         "next_persist_at",
         "has_written_crashes",
@@ -137,6 +139,7 @@
         self.quotas = quotas.Quotas(terms)
         self.exchange = quotas.Exchange()
         self.has_quota_timer = False
+        self.hedge_policy = hedging.HedgePolicy()
         self.persisted_counts = []
         self.next_persist_at = 0.0
         self.has_written_crashes = False
@@ -173,6 +176,7 @@
             scheduler = scheduling.Scheduler(
                 service, self.terms, self.random, self.now, self.crashes
             )
+            scheduler.hedges.policy = self.hedge_policy
             self.schedulers[service] = scheduler
             self.update_scheduler(scheduler)
         return scheduler
--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -26,8 +26,8 @@
     for the caller if a check of the node itself refused the attempt.
     """
 
-    __slots__ = ("reason", "retry_after", "refused_status")
-    DEFAULTS = {"refused_status": None}
+    __slots__ = ("reason", "retry_after", "refused_status", "is_hedge")
+    DEFAULTS = {"refused_status": None, "is_hedge": False}
 
     @property
     def status(self):
@@ -59,7 +59,9 @@
     ``changed`` is set when an attempt goes to a worker and when the call
     is aborted, as ``is_aborted`` then says.
     ``ended_attempts`` lists the GrantRequest, Grant and
-    upstream.AttemptResult of each attempt that ended.
+    upstream.AttemptResult of each attempt that ended; ``is_answered`` is
+    set once one has the answer for the caller. ``hedges`` has the numbers of
+    the attempts that are hedges.
     """
 
     __slots__ = (
@@ -80,6 +82,8 @@
         "changed",
         "is_aborted",
         "ended_attempts",
+        "is_answered",
+        "hedges",
     )
 
     def __init__(self, outgoing, route, started, time_left, fingerprint):
@@ -102,6 +106,8 @@
         self.changed = asyncio.Event()
         self.is_aborted = False
         self.ended_attempts = []
+        self.is_answered = False
+        self.hedges = set()
 
     def abort(self):
         """End the call without waiting for its attempts."""
