Test a node's process against untrusted clients

Nothing guarded against clients that exhaust a host's memory or descriptors. The tests run the node's process with the limits of a host, a store and a worker, one test for each form of attack and listener, and check that it lives, its peak memory and descriptors and one ordinary request.

--- /dev/null
+++ b/tests/untrusted_clients.py
@@ -0,0 +1,289 @@
+"""Builders for tests of a gateway process against untrusted clients."""
+
+import asyncio
+import contextlib
+import os
+import re
+import resource
+
+import aiohttp
+
+from bench import soak_fleet
+from standins import store as stores
+from tests import test_endless_answers
+
+PEER_OFFSET = len(soak_fleet.PORT_OFFSETS)
+PORT_OFFSETS = {
+    "caller": soak_fleet.PORT_OFFSETS["front"],
+    "readiness": soak_fleet.PORT_OFFSETS["readiness"],
+    "directory": soak_fleet.PORT_OFFSETS["directory"],
+    "peers": PEER_OFFSET,
+    "metrics": PEER_OFFSET + 1,
+}
+PATHS = {
+    "caller": b"/orders/x",
+    "readiness": b"/-/readyz",
+    "directory": b"/addresses",
+    "peers": b"/members",
+    "metrics": b"/metrics",
+}
+LIMITS = {
+    "maxHeaderBytes": 16_384,
+    "maxBodyBytes": 67_108_864,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15_000,
+}
+ROUTE_TIMEOUT_MS = 20_000  # bodies are held for longer than a test takes
+PIECE_BYTES = 65_536  # sent at a time
+SEND_TIME_S = 1.2  # for a crowd to send its data, as far as it is taken
+HOLD_TIME_S = 0.3  # for which the node processes what it was sent
+CALL_TIME_S = 6.0  # of one attempt of an ordinary request
+SERVE_TIME_S = 12.0  # until an ordinary request must have been answered
+RESERVED_DESCRIPTORS = 200  # of the host's limit
+HEAD_END = b"\r\n\r\n"
+LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+REQUEST_ID = re.compile(rb"acaciafield-request-id: (\S+)", re.IGNORECASE)
+
+
+class Worker:
+    """A worker that discards bodies; ``runs`` has the ids of requests."""
+
+    def __init__(self):
+        self.runs = []
+        self.body_sizes = []
+        self.answer_bytes = 10
+        self.address = None
+
+    @contextlib.asynccontextmanager
+    async def open(self):
+        """Serve on a free port."""
+        server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        self.address = "127.0.0.1:%d" % port
+        try:
+            yield self
+        finally:
+            server.close()
+
+    async def _answer(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(HEAD_END)
+            found = LENGTH.search(head)
+            left = int(found.group(1)) if found else 0
+            self.body_sizes.append(left)
+            while left:
+                data = await reader.read(min(left, PIECE_BYTES))
+                if not data:
+                    return
+                left -= len(data)
+            request_id = REQUEST_ID.search(head).group(1)
+            self.runs.append(request_id.decode())
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nAcaciafield-Request-Id: %s\r\n"
+                b"Acaciafield-Upstream-Signature: s\r\n"
+                b"Content-Length: %d\r\n\r\n" % (request_id, self.answer_bytes)
+            )
+            for _ in range(self.answer_bytes // PIECE_BYTES):
+                writer.write(bytes(PIECE_BYTES))
+                await writer.drain()
+            writer.write(bytes(self.answer_bytes % PIECE_BYTES))
+            await writer.drain()
+        writer.close()
+
+
+class Target:
+    """A gateway process under attack, with its limits and its worker."""
+
+    def __init__(self, node, worker, memory_mb, max_descriptors):
+        self.node = node
+        self.worker = worker
+        self.memory_bytes = memory_mb * 1_000_000
+        self.max_descriptors = max_descriptors
+
+    def get_address(self, listener):
+        """Return the ip and the port of a listener."""
+        return self.node.ip, soak_fleet.FIRST_PORT + PORT_OFFSETS[listener]
+
+    def count_descriptors(self):
+        """Return the number of open descriptors of the process."""
+        return len(os.listdir("/proc/%d/fd" % self.node.process.pid))
+
+    async def send_ordinary(self, body=b"order"):
+        """Send an ordinary order until it is served, as callers repeat it."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + SERVE_TIME_S
+        url = "http://%s:%d/orders/x" % self.get_address("caller")
+        headers = {
+            "Host": soak_fleet.HOSTNAME,
+            "Acaciafield-Request-Id": "ordinary",
+            "Acaciafield-Deadline-Ms": "5000",
+        }
+        status = 0
+        while status != 200 and loop.time() < end:
+            with contextlib.suppress(OSError, aiohttp.ClientError):
+                timeout = aiohttp.ClientTimeout(total=CALL_TIME_S)
+                async with aiohttp.ClientSession(timeout=timeout) as session:
+                    async with session.post(
+                        url, headers=headers, data=body
+                    ) as response:
+                        status = response.status
+                        await response.read()
+            await asyncio.sleep(0.05)
+        return status
+
+    async def check(self):
+        """Check the process and that it still serves an ordinary order."""
+        descriptors = self.count_descriptors()
+        status = await self.send_ordinary()
+        assert self.node.process.poll() is None
+        peak = test_endless_answers.read_peak(self.node)
+        print("peak %.1f MB, %d descriptors" % (peak / 1e6, descriptors))
+        assert peak < self.memory_bytes
+        assert descriptors <= self.max_descriptors - RESERVED_DESCRIPTORS
+        assert status == 200
+
+
+@contextlib.asynccontextmanager
+async def run_target(folder, memory_mb=152, max_descriptors=1535, limits=None):
+    """Run a node with the limits of a host, a store and a worker."""
+    worker = Worker()
+    async with stores.StoreServer().open() as store, worker.open():
+        test_endless_answers.put_worker(
+            store, "i-orders", "orders", worker.address
+        )
+        configuration = soak_fleet.make_configuration(1)
+        configuration["limits"] = LIMITS | (limits or {})
+        for route in configuration["routes"]:
+            route["timeoutMs"] = ROUTE_TIMEOUT_MS
+        store.put("keyed.op", "config", configuration)
+        environment = test_endless_answers.Environment(store)
+        node = soak_fleet.Node(environment, 1, folder)
+        node.write_settings(store.address)
+        text = node.path.read_text().replace(
+            "[self.limits]\n",
+            "[self.limits]\nmemoryMb = %d\nmaxFds = %d\n"
+            % (memory_mb, max_descriptors),
+        )
+        node.path.write_text(text)
+        await node.start()
+        pid = node.process.pid
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (max_descriptors,) * 2)
+        try:
+            async with asyncio.timeout(soak_fleet.START_TIMEOUT_S):
+                while not await node.is_ready():
+                    await asyncio.sleep(0.05)
+            yield Target(node, worker, memory_mb, max_descriptors)
+        finally:
+            node.process.kill()
+            node.process.wait()
+
+
+class Client:
+    """A client that sends ``parts`` and reads nothing.
+
+    ``parts`` is an iterable of bytes; a sent part is no longer referenced.
+    """
+
+    def __init__(self, address, parts):
+        self.address = address
+        self.parts = parts
+        self.writer = None
+
+    async def send(self):
+        """Send all parts, or as much as the node takes."""
+        with contextlib.suppress(OSError):
+            reader, self.writer = await asyncio.open_connection(
+                *self.address, limit=1
+            )
+            # A limit of one byte pauses reading; so does no reader.
+            self.writer.transport.pause_reading()
+            for part in self.parts:
+                self.writer.write(part)
+                await self.writer.drain()
+
+    def close(self):
+        """Reset the connection."""
+        if self.writer is not None:
+            self.writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def run_crowd(clients):
+    """Let clients send at once; keep their connections during the block."""
+    tasks = [asyncio.ensure_future(client.send()) for client in clients]
+    try:
+        await asyncio.wait(tasks, timeout=SEND_TIME_S)
+        await asyncio.sleep(HOLD_TIME_S)
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for client in clients:
+            client.close()
+
+
+def make_head(path, *fields, method=b"POST"):
+    """Return a request head with a host name, an id and further fields."""
+    lines = [
+        b"%s %s HTTP/1.1" % (method, path),
+        b"Host: " + soak_fleet.HOSTNAME.encode(),
+        b"Acaciafield-Request-Id: crowd",
+        b"Acaciafield-Deadline-Ms: 60000",
+        *fields,
+    ]
+    return b"\r\n".join(lines) + HEAD_END
+
+
+def iterate_whole_body(path, size):
+    """Yield a request whose body lacks its last byte."""
+    yield make_head(path, b"Content-Length: %d" % size)
+    left = size - 1
+    while left:
+        yield bytes(min(left, PIECE_BYTES))
+        left -= min(left, PIECE_BYTES)
+
+
+def iterate_completed_body(path, size):
+    """Yield a request with a whole body."""
+    yield from iterate_whole_body(path, size)
+    yield bytes(1)
+
+
+def iterate_chunked_body(path, size, chunk_bytes):
+    """Yield a request with a body in chunks that does not end."""
+    yield make_head(path, b"Transfer-Encoding: chunked")
+    chunk = b"%x\r\n%s\r\n" % (chunk_bytes, bytes(chunk_bytes))
+    count = max(1, PIECE_BYTES // chunk_bytes)
+    for _ in range(size // (count * chunk_bytes)):
+        yield chunk * count
+
+
+def iterate_fields(path, count):
+    """Yield a request with many short fields and a body that never comes."""
+    fields = [b"a%d:b" % number for number in range(count)]
+    yield make_head(path, *fields, b"Content-Length: 10")
+
+
+def iterate_pipelined(path, count, method=b"GET"):
+    """Yield many requests one after the other."""
+    head = make_head(path, method=method)
+    batch = max(1, PIECE_BYTES // len(head))
+    for _ in range(count // batch):
+        yield head * batch
+
+
+def iterate_behind(path, size):
+    """Yield an order and, behind it, one with a body that stops short."""
+    yield make_head(path, b"Content-Length: 2") + b"xx"
+    yield from iterate_whole_body(path, size)
+
+
+def iterate_slow_head(path):
+    """Yield a request head without an end."""
+    yield b"GET %s HTTP/1.1\r\nHost: x\r\nX-Slow: " % path
+
+
+def iterate_nothing(path):
+    """Yield nothing."""
+    yield b""
