Hold each client's memory once, in one ledger, and bound connections

A body was held up to three times, connections had no bound, and the pages' listeners had no time limits. Now: - a body is kept as blocks, hashed as they arrive with the same fingerprint, and written to a worker piece by piece with flow control; - one ledger counts bodies, received bytes, heads and answers; large bodies leave room for small requests; - all five listeners bound their connections; the idle and the slowest are closed first, slow heads, slow bodies and unread answers after a while; - an answer is read ahead of a slow caller, within the ledger; - a fast body is no longer taken for the start of a head when it arrives between the library's reading of a head and the handler's start, which reset large orders.

--- a/packages/daemon/acaciafield_daemon/gateway/bodies.py
+++ b/packages/daemon/acaciafield_daemon/gateway/bodies.py
@@ -9,6 +9,8 @@
 from aiohttp import hdrs
 
 from acaciafield import structs
+from acaciafield_daemon.gateway import calls
+from acaciafield_daemon.gateway import held_bodies
 
 STATUS_TOO_LARGE = 413
 STATUS_TIMEOUT = 408
@@ -22,38 +24,48 @@
 
 
 class BodyReader:
-    """Reads bodies within a memory limit for the whole node."""
+    """Reads bodies within the memory_ledger.MemoryLedger of the node.
 
-    __slots__ = ("max_bytes", "held_bytes", "clock")
+    ``held_bytes`` counts the bytes of all bodies that are not released.
+    """
 
-    def __init__(self, max_bytes, clock):
-        self.max_bytes = max_bytes
+    __slots__ = ("ledger", "held_bytes", "clock")
+
+    def __init__(self, ledger, clock):
+        self.ledger = ledger
         self.held_bytes = 0
         self.clock = clock
 
+    @property
+    def max_bytes(self):
+        """The bytes up to which large bodies fill the ledger."""
+        return self.ledger.max_large_bytes
+
     async def read(self, request, limits, deadline):
-        """Return the whole body of a request, or a BodyRefusal.
+        """Return a request's HeldBody, or a BodyRefusal.
 
         ``limits`` is the configuration's routes.Limits; ``deadline`` is a
         time of the process's clock, in seconds. The caller of this method
         must release the body.
         """
+        body = held_bodies.HeldBody(calls.start_fingerprint(request))
         if not request.body_exists:
-            return b""
+            return body
         announced_bytes = _parse_content_length(request)
         if announced_bytes > limits.max_body_bytes:
             return BodyRefusal(STATUS_TOO_LARGE)
-        if self.held_bytes + announced_bytes > self.max_bytes:
+        if not self._reserve(announced_bytes, announced_bytes):
             return BodyRefusal(STATUS_NO_ROOM)
-        self.held_bytes += announced_bytes
-        body, result = bytearray(), None
+        result = None
         try:
             result = await self._read_chunks(
                 request, body, announced_bytes, limits, deadline
             )
         finally:
             kept_bytes = len(body) if result is body else 0
-            self.held_bytes -= max(announced_bytes, len(body)) - kept_bytes
+            self._release(max(announced_bytes, len(body)) - kept_bytes)
+            if result is not body:
+                body.clear()
         return result
 
     async def _read_chunks(
@@ -61,7 +73,7 @@
     ):
         """Read chunks into ``body`` and return it, or a BodyRefusal.
 
-        ``held_bytes`` already includes ``announced_bytes``.
+        The ledger already includes ``announced_bytes``.
         """
         content = request.content
         while True:
@@ -77,14 +89,25 @@
             if size > limits.max_body_bytes:
                 return BodyRefusal(STATUS_TOO_LARGE)
             extra_bytes = max(0, size - max(announced_bytes, len(body)))
-            if extra_bytes and self.held_bytes + extra_bytes > self.max_bytes:
+            if extra_bytes and not self._reserve(extra_bytes, size):
                 return BodyRefusal(STATUS_NO_ROOM)
-            self.held_bytes += extra_bytes
-            body += chunk
+            body.append(chunk)
 
     def release(self, body):
         """Release the memory that a body counts for."""
-        self.held_bytes -= len(body)
+        self._release(len(body))
+        body.clear()
+
+    def _reserve(self, count, total):
+        """Reserve memory for a body of ``total`` bytes."""
+        is_reserved = self.ledger.reserve(count, total, self.held_bytes)
+        if is_reserved:
+            self.held_bytes += count
+        return is_reserved
+
+    def _release(self, count):
+        self.held_bytes -= count
+        self.ledger.release(count)
 
 
 def _parse_content_length(request):
--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -112,8 +112,11 @@
         return DEFAULT_TIMEOUT_S
 
 
-def fingerprint(request, body):
-    """Return a digest that all repetitions of a request share."""
+def start_fingerprint(request):
+    """Return the hash of a request, which must still read its body.
+
+    All repetitions of a request share the hexadecimal digest.
+    """
     digest = xxhash.xxh3_64()
     for part in (
         request.method,
@@ -123,5 +126,4 @@
     ):
         digest.update(part.encode())
         digest.update(b"\0")
-    digest.update(body)
-    return digest.hexdigest()
+    return digest
--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -7,7 +7,6 @@
 import time
 
 import aiohttp
-from aiohttp import web
 import orjson
 
 from acaciafield.gateway import backends
@@ -17,9 +16,11 @@
 from acaciafield.gateway import members
 from acaciafield.gateway import node_state
 from acaciafield.gateway import planned_stop
+from acaciafield_daemon.gateway import connection_limits
 from acaciafield_daemon.gateway import decision_log
 from acaciafield_daemon.gateway import grant_requests
 from acaciafield_daemon.gateway import listeners
+from acaciafield_daemon.gateway import memory_ledger
 from acaciafield_daemon.gateway import metrics
 from acaciafield_daemon.gateway import pages
 from acaciafield_daemon.gateway import peers
@@ -73,13 +74,27 @@
             "workers": self._dump_workers,
             "metrics": self.pages.dump_metrics,
         }
+        self.ledger = memory_ledger.MemoryLedger(
+            options.memory_bytes, options.limits
+        )
+        self.guard = connection_limits.ConnectionGuard(
+            options, self.clock, self.log, self.metrics, self.ledger
+        )
         self.peers = peers.PeerTransport(
-            options.ip, options.peer_port, self._receive, documents
+            options.ip,
+            options.peer_port,
+            self._receive,
+            documents,
+            functools.partial(
+                listeners.PageServer, guard=self.guard, name="peers"
+            ),
         )
         self.grant_requester = grant_requests.GrantRequester(
             self.state, self._send_to_node, self.clock, self.log
         )
-        self.worker_client = upstream.WorkerClient(options.headers, self.clock)
+        self.worker_client = upstream.WorkerClient(
+            options.headers, self.clock, self.ledger
+        )
         self.request_server = request_server.RequestServer(
             options,
             self.clock,
@@ -94,7 +109,7 @@
         self.stopping = asyncio.Event()
         self._listeners = []
         self.caller_server = listeners.CallerServer(
-            self.request_server.handle_request
+            self.request_server.handle_request, self.guard
         )
         self._running_calls = 0
         self._tick_timer = loop_timers.LoopTimer(loop, self._tick)
@@ -114,9 +129,7 @@
             await self._listen()
             self._flush_log()
             join = asyncio.ensure_future(self._join_fleet())
-            sweep = asyncio.ensure_future(
-                self.caller_server.close_slow_connections()
-            )
+            sweep = asyncio.ensure_future(self.guard.sweep())
             await self.stopping.wait()
             join.cancel()
             await self._stop()
@@ -127,15 +140,13 @@
     async def _listen(self):
         options = self.options
         await self._open_listener(self.caller_server, options.caller_port)
-        await self._open_listener(
-            web.Server(self.pages.answer_ready), options.readiness_port
-        )
-        await self._open_listener(
-            web.Server(self.pages.answer_addresses), options.directory_port
-        )
-        await self._open_listener(
-            web.Server(self.pages.answer_metrics), options.metrics_port
-        )
+        for answer, name, port in (
+            (self.pages.answer_ready, "readiness", options.readiness_port),
+            (self.pages.answer_addresses, "directory", options.directory_port),
+            (self.pages.answer_metrics, "metrics", options.metrics_port),
+        ):
+            server = listeners.PageServer(answer, self.guard, name)
+            await self._open_listener(server, port)
 
     async def _open_listener(self, server, port):
         listener = await self.loop.create_server(
@@ -426,6 +437,7 @@
         self.options.grace = found.grace
         self.options.max_address_ttl = found.max_address_ttl
         self.options.limits = found.limits
+        self.ledger.apply_limits(found.limits)
         self.state.apply_terms(found.terms)
         self.log.write("reload", terms=repr(found.terms), grace=found.grace)
 
--- a/packages/daemon/acaciafield_daemon/gateway/pages.py
+++ b/packages/daemon/acaciafield_daemon/gateway/pages.py
@@ -73,6 +73,8 @@
             "log_lines_dropped": node.log.dropped,
             "held_body_bytes": node.request_server.body_reader.held_bytes,
             "held_answer_bytes": node.worker_client.held_bytes,
+            "held_client_bytes": node.ledger.held_bytes,
+            "memory_refusals": node.ledger.refusals,
             "slow_heads_closed": node.caller_server.slow_heads_closed,
             "large_heads_refused": node.caller_server.large_heads_refused,
         }
--- a/packages/daemon/acaciafield_daemon/gateway/peers.py
+++ b/packages/daemon/acaciafield_daemon/gateway/peers.py
@@ -18,14 +18,16 @@
     """The datagram socket and the document server of one node.
 
     ``documents`` maps a path to a function that returns the document's
-    bytes, or None; ``unreadable`` counts malformed datagrams.
+    bytes, or None; ``make_server`` makes the server from its handler;
+    ``unreadable`` counts malformed datagrams.
     """
 
-    def __init__(self, ip, port, receive, documents):
+    def __init__(self, ip, port, receive, documents, make_server=web.Server):
         self.ip = ip
         self.port = port
         self.receive = receive
         self.documents = documents
+        self.make_server = make_server
         self.unreadable = 0
         self._transport = None
         self._session = None
@@ -37,7 +39,7 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self.ip, self.port)
         )
-        server = web.Server(self._answer)
+        server = self.make_server(self._answer)
         listener = await loop.create_server(server, self.ip, self.port)
         timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
         self._session = aiohttp.ClientSession(timeout=timeout)
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -18,7 +18,6 @@
 # A worker's own answer to a missed deadline may arrive this much later.
 LATE_ANSWER_SLACK_S = 0.1
 GRANT_WAIT_SHARE = 0.5  # of the target
-BODY_MEMORY_SHARE = 0.4  # of the host's memory
 MIN_GRANT_WAIT_S = 0.3
 UNREADY_RETRY_AFTER_S = 1.0
 STOPPING_REASON = "stopping"
@@ -60,8 +59,7 @@
         self.stop = None
         self.active = 0
         self.calls = set()
-        max_body_bytes = int(BODY_MEMORY_SHARE * options.memory_bytes)
-        self.body_reader = bodies.BodyReader(max_body_bytes, clock)
+        self.body_reader = bodies.BodyReader(worker_client.ledger, clock)
 
     async def handle_request(self, request):
         """Answer a caller's request."""
@@ -140,7 +138,7 @@
                 body,
                 request_id,
             )
-            digest = calls.fingerprint(request, body)
+            digest = body.digest.hexdigest()
             call = calls.Call(outgoing, route, started, time_left, digest)
             return await self._serve_call(call, request)
         finally:
@@ -371,7 +369,11 @@
 
     async def _forward_answer(self, call, result, request):
         response = await responses.forward_answer(
-            result, request, self.clock, call.caller_deadline
+            result,
+            request,
+            self.clock,
+            call.caller_deadline,
+            self.worker_client,
         )
         is_answered = result.ending is Ending.ANSWERED
         outcome = "passed" if is_answered else "broken-off"
--- a/packages/daemon/acaciafield_daemon/gateway/responses.py
+++ b/packages/daemon/acaciafield_daemon/gateway/responses.py
@@ -1,6 +1,7 @@
 """Responses to callers: generated here or forwarded from workers."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 from aiohttp import hdrs
@@ -8,6 +9,7 @@
 import multidict
 
 from acaciafield import outcomes
+from acaciafield_daemon.gateway import read_ahead
 from acaciafield_daemon.gateway import upstream
 
 MAX_UNSTREAMED_BYTES = 65536  # a larger answer is streamed
@@ -49,13 +51,14 @@
     return end_to_end_headers
 
 
-async def forward_answer(result, request, clock, deadline):
+async def forward_answer(result, request, clock, deadline, client):
     """Forward a worker's answer to the caller and return the response.
 
     ``deadline`` is the time of ``clock`` at which the gateway aborts an answer
     that has not ended. The gateway resets the caller's connection if the
     answer is late or truncated. A truncated answer, and a late one unless
-    the caller was slow to read it, no longer counts as answered.
+    the caller was slow to read it, no longer counts as answered. ``client``
+    is the upstream.WorkerClient that received the answer.
     """
     headers = copy_end_to_end_headers(result.headers)
     if result.open_response is None and result.size <= MAX_UNSTREAMED_BYTES:
@@ -68,10 +71,13 @@
     try:
         async with asyncio.timeout(max(0.0, deadline - started)):
             await response.prepare(request)
-            async for chunk in _iterate_body(result):
-                write_started = clock()
-                await response.write(chunk)
-                write_time += clock() - write_started
+            async with contextlib.aclosing(
+                _iterate_body(result, client)
+            ) as chunks:
+                async for chunk in chunks:
+                    write_started = clock()
+                    await response.write(chunk)
+                    write_time += clock() - write_started
             await response.write_eof()
     except TruncatedAnswerError:
         result.ending = outcomes.Ending.GARBLED
@@ -99,19 +105,20 @@
     return int(length) if length is not None else None
 
 
-async def _iterate_body(result):
-    for chunk in result.chunks:
-        yield chunk
-    result.chunks = []
+async def _iterate_body(result, client):
     if result.open_response is None:
+        for chunk in result.chunks:
+            yield chunk
+        result.chunks = []
         return
-    content = result.open_response.content
-    while True:
+    ahead = read_ahead.ReadAhead(result.open_response.content, client)
+    async with ahead.open():
+        for chunk in result.chunks:
+            yield chunk
+        result.chunks = []
         try:
-            chunk = await content.readany()
+            async for chunk in ahead.iterate():
+                yield chunk
         except (aiohttp.ClientError, OSError) as error:
             result.limit = upstream.find_limit(error)
             raise TruncatedAnswerError from error
-        if not chunk:
-            return
-        yield chunk
--- a/packages/daemon/acaciafield_daemon/gateway/settings.py
+++ b/packages/daemon/acaciafield_daemon/gateway/settings.py
@@ -42,6 +42,103 @@
         "Largest share of a service's requests that get a second attempt "
         "because the first is slow, within the retry budget; 0 means none.",
     ),
+    Setting(
+        "memory",
+        "own",
+        "own_memory",
+        75.0,
+        "MB",
+        0.0,
+        100000.0,
+        "Memory of the process itself; clients get the rest of the host's, "
+        "or 0.4 of it if that is more.",
+    ),
+    Setting(
+        "memory",
+        "large-share",
+        "large_memory_share",
+        0.875,
+        "share",
+        0.1,
+        1.0,
+        "Share of the clients' memory that large bodies may fill; the rest "
+        "is for small requests.",
+    ),
+    Setting(
+        "connections",
+        "reserved-descriptors",
+        "reserved_descriptors",
+        200,
+        "descriptors",
+        0,
+        100000,
+        "Descriptors of the host's limit that the node does not use.",
+    ),
+    Setting(
+        "connections",
+        "caller-share",
+        "caller_connection_share",
+        0.5,
+        "share",
+        0.01,
+        0.8,
+        "Share of the usable descriptors for connections of callers; half of "
+        "them remain for workers, the store and other nodes.",
+    ),
+    Setting(
+        "connections",
+        "page-share",
+        "page_connection_share",
+        0.05,
+        "share",
+        0.001,
+        0.05,
+        "Share of the usable descriptors for connections to each of the "
+        "readiness, directory, metrics and peer listeners.",
+    ),
+    Setting(
+        "connections",
+        "fields",
+        "max_fields",
+        128,
+        "fields",
+        16,
+        10000,
+        "Largest number of header fields of a request; one with more gets "
+        "400.",
+    ),
+    Setting(
+        "rates",
+        "body",
+        "min_body_rate",
+        500.0,
+        "bytes",
+        0.0,
+        1000000.0,
+        "Least mean rate of a request body in a second; a slower caller "
+        "is disconnected.",
+    ),
+    Setting(
+        "rates",
+        "body-grace",
+        "body_rate_grace",
+        5.0,
+        "seconds",
+        0.0,
+        3600.0,
+        "Time of a body before its least rate applies.",
+    ),
+    Setting(
+        "rates",
+        "read-stall",
+        "read_stall",
+        15.0,
+        "seconds",
+        1.0,
+        3600.0,
+        "Time without a byte of its answer taken after which a caller is "
+        "disconnected.",
+    ),
 )
 
 
--- a/packages/daemon/acaciafield_daemon/gateway/upstream.py
+++ b/packages/daemon/acaciafield_daemon/gateway/upstream.py
@@ -17,6 +17,8 @@
 
 from acaciafield import outcomes
 from acaciafield import structs
+from acaciafield_daemon.gateway import held_bodies
+from acaciafield_daemon.gateway import memory_ledger
 from acaciafield_daemon.gateway import worker_connections
 
 Ending = outcomes.Ending
@@ -26,6 +28,7 @@
 MAX_HELD_ANSWER_BYTES = 4_194_304  # held back to be checked before forwarding
 MAX_FAILURE_BYTES = 262_144  # a failure is always held as a whole
 MAX_TOTAL_HELD_BYTES = 16_777_216  # of all answers on a node
+DEFAULT_MEMORY_BYTES = 300_000_000  # of a host, for a client without a ledger
 READ_BUFFER_BYTES = 32768  # of one connection
 MAX_HEAD_LINE_BYTES = 65536  # of one line or field of a worker's answer
 TCP_USER_TIMEOUT_OPTION = getattr(socket, "TCP_USER_TIMEOUT", 18)
@@ -102,15 +105,28 @@
 class WorkerClient:
     """Sends attempts to workers.
 
-    ``held_bytes`` counts the bytes of all results that are not released.
+    ``held_bytes`` counts the bytes of all results that are not released;
+    they are also in ``ledger``, a memory_ledger.MemoryLedger, as are the
+    ``read_ahead_bytes`` of answers that callers take slowly.
     """
 
-    __slots__ = ("header_names", "clock", "held_bytes", "_session")
+    __slots__ = (
+        "header_names",
+        "clock",
+        "ledger",
+        "held_bytes",
+        "read_ahead_bytes",
+        "_session",
+    )
 
-    def __init__(self, header_names, clock):
+    def __init__(self, header_names, clock, ledger=None):
         self.header_names = header_names
         self.clock = clock
+        self.ledger = ledger or memory_ledger.MemoryLedger(
+            DEFAULT_MEMORY_BYTES
+        )
         self.held_bytes = 0
+        self.read_ahead_bytes = 0
         self._session = None
 
     @contextlib.asynccontextmanager
@@ -161,7 +177,7 @@
                 request.method,
                 url,
                 headers=headers,
-                data=request.body or None,
+                data=held_bodies.make_data(request.body),
                 allow_redirects=False,
             )
         except aiohttp.ClientConnectorError:
@@ -213,6 +229,7 @@
     def release(self, result):
         """Release the held part of an answer and close its connection."""
         self.held_bytes -= result.size
+        self.ledger.release(result.size)
         result.size, result.chunks = 0, []
         if result.open_response is not None:
             result.open_response.close()
@@ -261,8 +278,10 @@
             result.chunks.append(chunk)
             result.size += len(chunk)
             self.held_bytes += len(chunk)
+            has_room = self.ledger.hold(len(chunk))
             if (
-                result.size <= max_bytes
+                has_room
+                and result.size <= max_bytes
                 and self.held_bytes <= MAX_TOTAL_HELD_BYTES
             ):
                 continue
