Let the soak attack nodes with crowds of hostile clients

No soak covered clients that hold back the end of a body or a head. The new fault lets 40 clients send one form of attack to one listener of a node and finds a node that ends or exceeds its memory. The clients move from the tests to bench/soak_crowd.py, which both use. The tests of the pages' listeners now also need an answer of the attacked page.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -18,6 +18,7 @@
 
 import aiohttp
 
+from bench import soak_crowd
 from bench import soak_fleet
 from bench import soak_record
 from standins import store
@@ -262,6 +263,7 @@
                 task.cancel()
             await asyncio.gather(*callers, watch_task, return_exceptions=True)
         violations = self.record.find_violations()
+        violations += self.record.fallen
         violations += self._find_unserved_requests(
             faults_ended_at + SETTLE_TIME_S
         )
@@ -417,11 +419,19 @@
     "store": _fail_store,
     "forget": _truncate_history,
     "publish": _publish,
+    "crowd": soak_crowd.attack_node,
     "spoil": _inject_worker_fault,
     "replace": _replace_worker,
     "remove": _remove_worker,
 }
-NON_DISRUPTIVE_FAULTS = ("reload", "publish", "spoil", "replace", "remove")
+NON_DISRUPTIVE_FAULTS = (
+    "reload",
+    "publish",
+    "crowd",
+    "spoil",
+    "replace",
+    "remove",
+)
 
 
 def run_soak(seed, seconds, count):
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -172,6 +172,12 @@
                 self.process.kill()
             await asyncio.sleep(0.02)
 
+    def read_peak(self):
+        """Return the peak resident memory of the process in bytes."""
+        with open("/proc/%d/status" % self.process.pid) as file:
+            found = re.search(r"VmHWM:\s+(\d+) kB", file.read())
+        return int(found.group(1)) * 1024
+
     async def read_version(self):
         """Return the version of the node's configuration, 0 if unknown."""
         port = FIRST_PORT + len(PORT_OFFSETS) + 1
--- a/bench/soak_record.py
+++ b/bench/soak_record.py
@@ -57,6 +57,7 @@
         self.stops = []
         self.versions = collections.defaultdict(list)
         self.fault_counts = collections.Counter()
+        self.fallen = []  # nodes that a crowd ended, a line of text each
 
     def is_undisturbed(self, start, end):
         """Return whether no disruption overlaps the time span."""
--- a/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
+++ b/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
@@ -69,14 +69,14 @@
         if handler.is_counted:
             self.charge(handler, server)
 
-    def charge(self, handler, server, unsent_bytes=0):
+    def charge(self, handler, server):
         """Adjust the ledger to what a connection holds.
 
         Without room, other connections are closed, or else this one.
         """
         if not handler.is_counted:
             return
-        held = measure_held(handler) + unsent_bytes
+        held = measure_held(handler)
         extra = held - handler.charged_bytes
         if extra <= 0:
             self.ledger.release(-extra)
@@ -170,8 +170,9 @@
         elif now - handler.unread_since > limits.read_stall:
             self.close(handler, server, "unread-answer")
             return
-        handler.unsent_bytes = unsent_bytes
-        self.charge(handler, server, unsent_bytes)
+        if unsent_bytes != handler.unsent_bytes:
+            handler.unsent_bytes = unsent_bytes
+            self.charge(handler, server)
         content = handler.find_read_body()
         if content is None:
             return
@@ -184,8 +185,9 @@
 
 
 def measure_held(handler):
-    """Return the bytes that a connection holds for what it has received."""
-    held = handler.head_bytes + FIELD_BYTES * handler.field_count
+    """Return the bytes that a connection holds, as far as they are known."""
+    held = handler.head_bytes + handler.unsent_bytes
+    held += FIELD_BYTES * handler.field_count
     for message, content in handler._messages:
         held += FIELD_BYTES * len(getattr(message, "raw_headers", ()))
         held += measure_unread(content)
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -10,30 +10,31 @@
 
 import pytest
 
+from bench import soak_crowd
 from tests import untrusted_clients as crowds
 
 # A form of attack: how many clients, and what each of them sends.
 CALLER_FORMS = {
-    "large": (3, crowds.iterate_whole_body, 40_000_000),
-    "medium": (8, crowds.iterate_whole_body, 20_000_000),
-    "many": (60, crowds.iterate_whole_body, 3_000_000),
-    "small": (400, crowds.iterate_whole_body, 300_000),
-    "behind": (400, crowds.iterate_behind, 600_000),
-    "chunks": (8, crowds.iterate_chunked_body, 20_000_000, 16_384),
-    "tiny chunks": (3, crowds.iterate_chunked_body, 1_500_000, 1),
-    "short chunks": (4, crowds.iterate_chunked_body, 6_000_000, 24),
-    "endless": (4, crowds.iterate_chunked_body, 200_000_000, 65_536),
-    "fields": (900, crowds.iterate_fields, 115),
-    "too many fields": (200, crowds.iterate_fields, 2000),
-    "pipelined": (100, crowds.iterate_pipelined, 5000),
-    "slow heads": (900, crowds.iterate_slow_head),
-    "silent": (900, crowds.iterate_nothing),
+    "large": (3, soak_crowd.iterate_whole_body, 40_000_000),
+    "medium": (8, soak_crowd.iterate_whole_body, 20_000_000),
+    "many": (60, soak_crowd.iterate_whole_body, 3_000_000),
+    "small": (400, soak_crowd.iterate_whole_body, 300_000),
+    "behind": (400, soak_crowd.iterate_behind, 600_000),
+    "chunks": (8, soak_crowd.iterate_chunked_body, 20_000_000, 16_384),
+    "tiny chunks": (3, soak_crowd.iterate_chunked_body, 1_500_000, 1),
+    "short chunks": (4, soak_crowd.iterate_chunked_body, 6_000_000, 24),
+    "endless": (4, soak_crowd.iterate_chunked_body, 200_000_000, 65_536),
+    "fields": (900, soak_crowd.iterate_fields, 115),
+    "too many fields": (200, soak_crowd.iterate_fields, 2000),
+    "pipelined": (100, soak_crowd.iterate_pipelined, 5000),
+    "slow heads": (900, soak_crowd.iterate_slow_head),
+    "silent": (900, soak_crowd.iterate_nothing),
 }
 PAGE_FORMS = {
-    "bodies": (400, crowds.iterate_whole_body, 600_000),
-    "pipelined": (200, crowds.iterate_pipelined, 20_000),
-    "slow heads": (600, crowds.iterate_slow_head),
-    "silent": (600, crowds.iterate_nothing),
+    "bodies": (400, soak_crowd.iterate_whole_body, 600_000),
+    "pipelined": (200, soak_crowd.iterate_pipelined, 20_000),
+    "slow heads": (600, soak_crowd.iterate_slow_head),
+    "silent": (600, soak_crowd.iterate_nothing),
 }
 PAGES = ("readiness", "directory", "peers", "metrics")
 DESCRIPTOR_FORMS = ("slow heads", "silent")
@@ -60,11 +61,13 @@
             address = target.get_address(listener)
             count, *arguments = fields
             clients = [
-                crowds.Client(address, make_data(path, *arguments))
+                soak_crowd.Client(address, make_data(path, *arguments))
                 for _ in range(count)
             ]
             async with crowds.run_crowd(clients):
                 await target.check()
+                if listener != "caller":
+                    assert await target.get_page(listener)
 
     asyncio.run(run())
 
@@ -97,10 +100,12 @@
         async with crowds.run_target(tmp_path) as target:
             target.worker.answer_bytes = LARGE_ANSWER_BYTES
             make_data = functools.partial(
-                crowds.make_head, crowds.PATHS["caller"], b"Content-Length: 0"
+                soak_crowd.make_head,
+                crowds.PATHS["caller"],
+                b"Content-Length: 0",
             )
             clients = [
-                crowds.Client(target.get_address("caller"), [make_data()])
+                soak_crowd.Client(target.get_address("caller"), [make_data()])
                 for _ in range(UNREAD_COUNT)
             ]
             async with crowds.run_crowd(clients):
@@ -134,9 +139,9 @@
     async def run():
         async with crowds.run_target(tmp_path, memory_mb) as target:
             clients = [
-                crowds.Client(
+                soak_crowd.Client(
                     target.get_address("caller"),
-                    crowds.iterate_completed_body(
+                    soak_crowd.iterate_completed_body(
                         crowds.PATHS["caller"], size
                     ),
                 )
--- a/tests/untrusted_clients.py
+++ b/tests/untrusted_clients.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from bench import soak_crowd
 from bench import soak_fleet
 from standins import store as stores
 from tests import test_endless_answers
@@ -34,13 +35,11 @@
     "idleTimeoutMs": 15_000,
 }
 ROUTE_TIMEOUT_MS = 20_000  # bodies are held for longer than a test takes
-PIECE_BYTES = 65_536  # sent at a time
 SEND_TIME_S = 1.2  # for a crowd to send its data, as far as it is taken
 HOLD_TIME_S = 0.3  # for which the node processes what it was sent
 CALL_TIME_S = 6.0  # of one attempt of an ordinary request
 SERVE_TIME_S = 12.0  # until an ordinary request must have been answered
 RESERVED_DESCRIPTORS = 200  # of the host's limit
-HEAD_END = b"\r\n\r\n"
 LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
 REQUEST_ID = re.compile(rb"acaciafield-request-id: (\S+)", re.IGNORECASE)
 
@@ -67,12 +66,12 @@
 
     async def _answer(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            head = await reader.readuntil(HEAD_END)
+            head = await reader.readuntil(soak_crowd.HEAD_END)
             found = LENGTH.search(head)
             left = int(found.group(1)) if found else 0
             self.body_sizes.append(left)
             while left:
-                data = await reader.read(min(left, PIECE_BYTES))
+                data = await reader.read(min(left, soak_crowd.PIECE_BYTES))
                 if not data:
                     return
                 left -= len(data)
@@ -83,10 +82,10 @@
                 b"Acaciafield-Upstream-Signature: s\r\n"
                 b"Content-Length: %d\r\n\r\n" % (request_id, self.answer_bytes)
             )
-            for _ in range(self.answer_bytes // PIECE_BYTES):
-                writer.write(bytes(PIECE_BYTES))
+            for _ in range(self.answer_bytes // soak_crowd.PIECE_BYTES):
+                writer.write(bytes(soak_crowd.PIECE_BYTES))
                 await writer.drain()
-            writer.write(bytes(self.answer_bytes % PIECE_BYTES))
+            writer.write(bytes(self.answer_bytes % soak_crowd.PIECE_BYTES))
             await writer.drain()
         writer.close()
 
@@ -131,12 +130,28 @@
             await asyncio.sleep(0.05)
         return status
 
+    async def get_page(self, listener):
+        """Return whether a listener answers an ordinary request in time."""
+        url = "http://%s:%d" % self.get_address(listener)
+        url += PATHS[listener].decode()
+        timeout = aiohttp.ClientTimeout(total=CALL_TIME_S)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + SERVE_TIME_S
+        while loop.time() < end:
+            with contextlib.suppress(OSError, aiohttp.ClientError):
+                async with aiohttp.ClientSession(timeout=timeout) as session:
+                    async with session.get(url) as response:
+                        await response.read()
+                        return True
+            await asyncio.sleep(0.05)
+        return False
+
     async def check(self):
         """Check the process and that it still serves an ordinary order."""
         descriptors = self.count_descriptors()
         status = await self.send_ordinary()
         assert self.node.process.poll() is None
-        peak = test_endless_answers.read_peak(self.node)
+        peak = self.node.read_peak()
         print("peak %.1f MB, %d descriptors" % (peak / 1e6, descriptors))
         assert peak < self.memory_bytes
         assert descriptors <= self.max_descriptors - RESERVED_DESCRIPTORS
@@ -178,35 +193,6 @@
             node.process.wait()
 
 
-class Client:
-    """A client that sends ``parts`` and reads nothing.
-
-    ``parts`` is an iterable of bytes; a sent part is no longer referenced.
-    """
-
-    def __init__(self, address, parts):
-        self.address = address
-        self.parts = parts
-        self.writer = None
-
-    async def send(self):
-        """Send all parts, or as much as the node takes."""
-        with contextlib.suppress(OSError):
-            reader, self.writer = await asyncio.open_connection(
-                *self.address, limit=1
-            )
-            # A limit of one byte pauses reading; so does no reader.
-            self.writer.transport.pause_reading()
-            for part in self.parts:
-                self.writer.write(part)
-                await self.writer.drain()
-
-    def close(self):
-        """Reset the connection."""
-        if self.writer is not None:
-            self.writer.transport.abort()
-
-
 @contextlib.asynccontextmanager
 async def run_crowd(clients):
     """Let clients send at once; keep their connections during the block."""
@@ -221,69 +207,3 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for client in clients:
             client.close()
-
-
-def make_head(path, *fields, method=b"POST"):
-    """Return a request head with a host name, an id and further fields."""
-    lines = [
-        b"%s %s HTTP/1.1" % (method, path),
-        b"Host: " + soak_fleet.HOSTNAME.encode(),
-        b"Acaciafield-Request-Id: crowd",
-        b"Acaciafield-Deadline-Ms: 60000",
-        *fields,
-    ]
-    return b"\r\n".join(lines) + HEAD_END
-
-
-def iterate_whole_body(path, size):
-    """Yield a request whose body lacks its last byte."""
-    yield make_head(path, b"Content-Length: %d" % size)
-    left = size - 1
-    while left:
-        yield bytes(min(left, PIECE_BYTES))
-        left -= min(left, PIECE_BYTES)
-
-
-def iterate_completed_body(path, size):
-    """Yield a request with a whole body."""
-    yield from iterate_whole_body(path, size)
-    yield bytes(1)
-
-
-def iterate_chunked_body(path, size, chunk_bytes):
-    """Yield a request with a body in chunks that does not end."""
-    yield make_head(path, b"Transfer-Encoding: chunked")
-    chunk = b"%x\r\n%s\r\n" % (chunk_bytes, bytes(chunk_bytes))
-    count = max(1, PIECE_BYTES // chunk_bytes)
-    for _ in range(size // (count * chunk_bytes)):
-        yield chunk * count
-
-
-def iterate_fields(path, count):
-    """Yield a request with many short fields and a body that never comes."""
-    fields = [b"a%d:b" % number for number in range(count)]
-    yield make_head(path, *fields, b"Content-Length: 10")
-
-
-def iterate_pipelined(path, count, method=b"GET"):
-    """Yield many requests one after the other."""
-    head = make_head(path, method=method)
-    batch = max(1, PIECE_BYTES // len(head))
-    for _ in range(count // batch):
-        yield head * batch
-
-
-def iterate_behind(path, size):
-    """Yield an order and, behind it, one with a body that stops short."""
-    yield make_head(path, b"Content-Length: 2") + b"xx"
-    yield from iterate_whole_body(path, size)
-
-
-def iterate_slow_head(path):
-    """Yield a request head without an end."""
-    yield b"GET %s HTTP/1.1\r\nHost: x\r\nX-Slow: " % path
-
-
-def iterate_nothing(path):
-    """Yield nothing."""
-    yield b""
