Test that a body which comes at once does not reset its order

A body that arrived between the library's reading of a head and the start of its handler counted as a head, and more than 16 KB of it reset the connection.

--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -182,3 +182,23 @@
         assert harness.node.ledger.held_bytes == 0
 
     support.run_steps(steps)
+
+
+@pytest.mark.parametrize("turns", range(4))
+def test_body_that_comes_at_once_is_no_start_of_a_head(turns):
+    # Guards against a large order that is reset because its body arrives
+    # before the handler of its head has started.
+    async def steps(harness):
+        async with support.connect(harness, b"") as (reader, _):
+            while not harness.node.caller_server.connections:
+                await asyncio.sleep(0.01)
+            (handler,) = harness.node.caller_server.connections
+            handler.data_received(support.make_head(60_000))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            for _ in range(3):
+                handler.data_received(bytes(20_000))
+            answer = await reader.readuntil(b"\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 200")
+
+    support.run_steps(steps)
