Allow each page's listener a share of 0.08 of the descriptors

With 0.05 the peers' listener of the smallest host took 66 connections, about as many as the nodes of a zone that may fetch at once; now 106.

--- a/packages/daemon/acaciafield_daemon/gateway/settings.py
+++ b/packages/daemon/acaciafield_daemon/gateway/settings.py
@@ -81,20 +81,20 @@
         0.5,
         "share",
         0.01,
-        0.8,
-        "Share of the usable descriptors for connections of callers; half of "
-        "them remain for workers, the store and other nodes.",
+        0.5,
+        "Share of the usable descriptors for connections of callers.",
     ),
     Setting(
         "connections",
         "page-share",
         "page_connection_share",
-        0.05,
+        0.08,
         "share",
         0.001,
-        0.05,
+        0.1,
         "Share of the usable descriptors for connections to each of the "
-        "readiness, directory, metrics and peer listeners.",
+        "readiness, directory, metrics and peer listeners; what the shares "
+        "leave is for workers, the store and fetches from other nodes.",
     ),
     Setting(
         "connections",
