Let retryable requests find the workers that begin to fail

The schedulers now measure how often workers begin to fail. While requests that may be retried test all workers often enough, a request whose failure is final goes to a worker that was proven a moment ago, also to its last free slots; the others go to the workers proven longest ago. A grant proves its worker after 50 ms only. Without measured onsets, or with too few such requests, nothing changes.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -33,6 +33,7 @@
 WORKER_SPEED_SIGMA = 0.2  # of the natural logarithm
 SLOWDOWN_WORKER_SHARE = 0.3  # of the workers slow down with all slots taken
 SLOWDOWN_RATIO = 1.5
+FLOOR_START_S = 4.0  # after which the share of used workers is measured
 RELEASE_START_S = 6.0
 RELEASE_STEP_S = 1.0
 RELEASE_AWAY_S = 4.0  # from the drain of a worker until its return
@@ -259,6 +260,7 @@
         self.events, self.event_count = [], 0
         self.releases = {name: [] for name in self.entries}
         self.remote_bytes = 0
+        self.used_share = 1.0
         self.repeats = 0
         self._update_entries(0.0)
         for call in self.calls:
@@ -266,6 +268,7 @@
         now = 0.0
         while now < DURATION_S + 9.0:
             now += DISPATCH_PERIOD_S
+            self._schedule(now, self._measure_usage)
             for zone in self.schedulers:
                 self._schedule(now, self._dispatch, zone)
         if load.release:
@@ -337,6 +340,11 @@
         answer = self.schedulers[call.zone].decide(request, "", now)
         self._handle(now, call, request, answer)
 
+    def _measure_usage(self, now):
+        usage = self.schedulers["z0"].measure_usage(now)
+        if usage is not None and FLOOR_START_S < now < DURATION_S:
+            self.used_share = min(self.used_share, usage.share)
+
     def _dispatch(self, now, zone):
         for _, request, answer in self.schedulers[zone].dispatch(now):
             number = int(request.attempt_id.partition("-")[0][1:])
@@ -571,16 +579,19 @@
 
 def play(load, seeds=(1, 2), verbose=True):
     """Play a load with several seeds and print the results."""
-    calls, oracle, remote, repeats = [], [], 0, 0
+    calls, oracle, remote, repeats, used = [], [], 0, 0, 1.0
     for seed in seeds:
         simulation = AdmissionSimulation(load, seed).run()
         calls += simulation.calls
         remote += simulation.remote_bytes
         repeats += simulation.repeats
+        used = min(used, simulation.used_share)
         oracle += play_oracle(simulation)
     megabytes = remote / 1e6 / len(seeds) / DURATION_S
     print_result(
-        load.name, calls, "remote %.2f MB/s repeats %d" % (megabytes, repeats)
+        load.name,
+        calls,
+        "remote %.2f MB/s repeats %d floor %.3f" % (megabytes, repeats, used),
     )
     if not verbose:
         return
--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -24,6 +24,8 @@
 MAX_SUCCESS_TIMES = 12  # latest successes recorded per worker
 MAX_RESETS = 8  # requests without an answer that are recorded per worker
 RESTART_TIME_S = 1.0  # a worker that crashed is unavailable for longer
+# Time within which a worker that fails at once is known to have done so.
+PROOF_TIME_S = 0.05
 MIN_RISK = 0.02  # a lower risk counts as none
 # Delay from a failure to the next canary request; it doubles up to
 # the maximum, below the 2 s after which the floor requires a request.
@@ -122,6 +124,8 @@
         "connect_backoffs",
         "succeeded_at",
         "granted_at",
+        "unproven_at",
+        "proven_at",
         "failed_at",
         "reset_at",
         "resets",
@@ -141,6 +145,8 @@
         self.connect_backoffs = {}
         self.succeeded_at = collections.deque(maxlen=MAX_SUCCESS_TIMES)
         self.granted_at = now
+        self.unproven_at = None
+        self.proven_at = now
         self.failed_at = -math.inf
         self.reset_at = -math.inf
         # Earliest and latest time of the reset, fingerprint and attempt id.
@@ -174,6 +180,20 @@
         self.failed_at = max(self.failed_at, now - age)
         self.decay, self.failures = decay, failures
 
+    def record_grant(self, started, now):
+        """Record the grant of a request at ``started``."""
+        self.granted_at = max(self.granted_at, started)
+        self.proven_at = self.find_proven_at(now)
+        if self.unproven_at is None or now - self.unproven_at >= PROOF_TIME_S:
+            self.unproven_at = started
+
+    def find_proven_at(self, now):
+        """Return when a request last started that did not fail at once."""
+        unproven = self.unproven_at
+        if unproven is not None and now - unproven >= PROOF_TIME_S:
+            return max(self.proven_at, unproven)
+        return self.proven_at
+
     def estimate_risk(self, now):
         """Return the current probability of a failure."""
         if self.risk < MIN_RISK:
@@ -184,6 +204,7 @@
     def record_success(self, started, now):
         """Record a success of a request that started at ``started``."""
         self.succeeded_at.append(now)
+        self.proven_at = max(self.proven_at, started)
         if started < self.risk_at:
             return
         self.risk = self.estimate_risk(now) * SUCCESS_RISK_FACTOR
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -15,6 +15,7 @@
 from acaciafield.gateway import evidence
 from acaciafield.gateway import floors
 from acaciafield.gateway import messages
+from acaciafield.gateway import onsets
 from acaciafield.gateway import selection
 from acaciafield import outcomes
 from acaciafield import structs
@@ -143,6 +144,7 @@
         "is_below_floor",
         "last_request_at",
         "recent_results",
+        "onset_rate",
     )
 
     def __init__(self, service, terms, random, started=None, ledger=None):
@@ -163,6 +165,7 @@
         self.is_below_floor = False
         self.last_request_at = None
         self.recent_results = budgets.DecayingShares(floors.WINDOW_S)
+        self.onset_rate = onsets.OnsetRate()
 
     def update_entries(self, entries, now):
         """Replace the list of workers, but preserve the state of each."""
@@ -438,6 +441,7 @@
             size,
             self.latencies,
             self._may_send_canary(request, now),
+            self.onset_rate.measure_rate(),
         )
 
     def _find_floor_share(self, request, now):
@@ -462,6 +466,8 @@
         return self.budget.measure_used_share(now) < CANARY_BUDGET_SHARE
 
     def _grant(self, request, worker, now):
+        if not request.is_last_attempt:
+            self.onset_rate.scout_routes.add(request.route)
         self._count_attempt(request, now)
         self._add_in_flight(request, worker, now, granted_here=True)
         return self._make_grant(request, worker)
@@ -471,6 +477,7 @@
             self.budget.add_repeat(now)
         else:
             self.budget.add_first_attempt(now)
+            self.onset_rate.add_first_attempt(message.route)
 
     def _add_in_flight(self, request, worker, now, granted_here=False):
         active = InFlightRequest(
@@ -489,7 +496,7 @@
     def _register_in_flight(self, active):
         worker = active.worker
         worker.in_flight[active.attempt_id] = active
-        worker.granted_at = max(worker.granted_at, active.started)
+        worker.record_grant(active.started, active.started)
         self.in_flight[active.attempt_id] = active
 
     def _remove_in_flight(self, attempt_id):
@@ -597,12 +604,13 @@
             evidence.record_unlisted_attempt(report, self.crashes, now)
             return []
         ran_alone = worker.ran_alone(now)
+        failures_before = worker.failures
         if report.load is not None:
             self._remove_lost(worker, report.load, now)
         if succeeded:
             # A first answer sets the mean: 4.0 is 1 / INITIAL_LATENCY_SHARE.
             self._find_latency(report.route, report.latency * 4.0)
-        return evidence.record_attempt(
+        refuted = evidence.record_attempt(
             worker,
             report,
             self.latencies,
@@ -611,6 +619,11 @@
             earliest_end,
             now,
         )
+        self.onset_rate.advance(len(self.workers), now)
+        # A second failure in a row tells an onset from an error of a request.
+        if failures_before == 1 and worker.failures == 2:
+            self.onset_rate.add_onset()
+        return refuted
 
     def _remove_lost(self, worker, load, now):
         """Remove the oldest in-flight requests that the worker lacks.
--- a/packages/coordination/acaciafield/gateway/selection.py
+++ b/packages/coordination/acaciafield/gateway/selection.py
@@ -27,25 +27,44 @@
 # Cost of a worker whose last slot is taken; grows with the 4th power of load.
 LOAD_COST = 1.0
 CANARY_BONUS = 1.0  # makes the worker of a canary request the first choice
+# Largest risk ascribed to the time since a worker's last request.
+MAX_STALE_RISK = 0.1
+# Value of finding out by a request that may be retried, per risk.
+SCOUT_WEIGHT = 15.0
+# Share of the cost of load that counts where a failure is final and workers
+# are known to begin to fail: fewer workers then get such requests, and the
+# others are tried by requests that may be retried.
+PACKING_LOAD_SHARE = 0.1
 MAX_EXTRA_REQUESTS = 1  # beyond the slots of a worker
 
 
 def choose_worker(
-    workers, request, now, max_risk, size, latencies, may_be_canary
+    workers,
+    request,
+    now,
+    max_risk,
+    size,
+    latencies,
+    may_be_canary,
+    onset_rate=0.0,
 ):
     """Return the eligible worker of least cost, or None.
 
     A worker above ``max_risk`` is left out, unless a canary request is due
     to test whether it has recovered and the request ``may_be_canary``.
     ``size`` is the usual size of an answer in bytes, ``latencies`` a
-    backends.RouteLatency by route.
+    backends.RouteLatency by route, ``onset_rate`` the rate at which a worker
+    begins to fail.
     """
     best, best_cost = None, math.inf
     remote_zone_cost = REMOTE_ZONE_COST + size / BYTES_PER_REMOTE_COST
+    is_packing = request.is_last_attempt and onset_rate > 0.0
     for worker in workers:
         is_canary = may_be_canary and worker.is_canary_due(now)
-        bonus = find_idle_bonus(worker, now)
+        bonus = find_idle_bonus(worker, request, onset_rate, now)
         cost = find_base_cost(worker, request, remote_zone_cost, now) - bonus
+        if is_packing and len(worker.in_flight) < worker.entry.slots:
+            cost -= (1.0 - PACKING_LOAD_SHARE) * find_load_cost(worker)
         # The base cost alone rules out most workers of a large service.
         if cost >= best_cost and not is_canary:
             continue
@@ -58,7 +77,7 @@
             cost -= CANARY_BONUS
         else:
             # Old failures of little risk do not keep a worker idle.
-            ignores_risk = bonus and risk <= INITIAL_MAX_RISK
+            ignores_risk = bonus > 0.0 and risk <= INITIAL_MAX_RISK
             counted_risk = 0.0 if ignores_risk else risk
             cost += find_risk_cost(
                 worker, request, counted_risk, latencies, now
@@ -68,9 +87,18 @@
     return best
 
 
-def find_idle_bonus(worker, now):
-    """Return the cost reduction of a worker that has been idle."""
+def find_idle_bonus(worker, request, onset_rate, now):
+    """Return the cost reduction of a worker that has been idle.
+
+    The risk that it began to fail since its last request is a cost where a
+    failure is final; another request had better find out.
+    """
     idle_time = now - worker.granted_at
+    if onset_rate > 0.0:
+        age = now - worker.find_proven_at(now)
+        if request.is_last_attempt:
+            return -FINAL_RISK_WEIGHT * min(MAX_STALE_RISK, onset_rate * age)
+        return SCOUT_WEIGHT * min(MAX_STALE_RISK, onset_rate * idle_time)
     if idle_time <= IDLE_TIME_S:
         return 0.0
     return LONG_IDLE_BONUS if idle_time > LONG_IDLE_TIME_S else IDLE_BONUS
@@ -82,8 +110,7 @@
     ``remote_zone_cost`` is the cost of another availability zone.
     """
     entry = worker.entry
-    load = (len(worker.in_flight) + 1) / entry.slots
-    cost = load + LOAD_COST * load**4
+    cost = find_load_cost(worker)
     if entry.zone != request.zone:
         cost += remote_zone_cost
     if now < worker.warm_at:
@@ -91,6 +118,12 @@
     return cost
 
 
+def find_load_cost(worker):
+    """Return the cost of a worker by the share of its slots in use."""
+    load = (len(worker.in_flight) + 1) / worker.entry.slots
+    return load + LOAD_COST * load**4
+
+
 def find_risk_cost(worker, request, risk, latencies, now):
     """Return the cost of a possible failure or hang of a worker."""
     hang_risk = worker.estimate_hang_risk(latencies, now)
