Order queued requests by workspace, served share and retries

A service had one queue by the route's priority, so that less urgent kinds were hardly served under overload. Now retries go first, as their refusal is a failure; then the priority of the workspace, that of the route, and the workspace that was granted least (max-min fairness, with the grants of other coordinators). Requests that may be retried accept risky workers almost at once, which finds workers that have recovered. A caller that returns counts once. The bytes of request and answer both count for the cost of another zone, and remote workers are tested less eagerly. The refusal line says expected and longest wait, rate, served share and workspace.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -173,6 +173,7 @@
         request.time_left,
         request.retry_count,
         request.fingerprint,
+        request.workspace,
     )
     _notify_evidence_holders(request.service, notice, state, out)
 
@@ -192,7 +193,7 @@
             state.crashes.describe_crashes(request.fingerprint, state.now)
         )
         fields["retry_after"] = answer.retry_after
-        fields.update(scheduler.describe_budget(request, state.now))
+        fields.update(scheduler.describe_refusal(request, state.now))
         return effects.LogDecision("refusal", fields)
     fields["worker"] = answer.worker_id
     if state.crashes.is_suspect(request.fingerprint, state.now):
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -92,8 +92,8 @@
 class AttemptReport(structs.Struct):
     """The result of an attempt at a worker.
 
-    ``ending`` is an outcomes.Ending value; ``size`` the bytes of the
-    answer; ``load`` the worker's [running, waiting, slots] or None.
+    ``ending`` is an outcomes.Ending value; ``size`` the bytes of the request
+    and the answer; ``load`` the worker's [running, waiting, slots] or None.
     ``incarnation`` is that of the worker's entry as granted; the worker may
     announce that it is ``leaving`` or request a ``pause``, in seconds,
     from ``node``.
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -5,10 +5,10 @@
 that cannot be served in time is refused at once.
 """
 
-import bisect
 import enum
 import math
 
+from acaciafield.gateway import admission
 from acaciafield.gateway import backends
 from acaciafield.gateway import budgets
 from acaciafield.gateway import crashes
@@ -26,12 +26,6 @@
 MAX_RESERVED_SHARE = 0.25
 # Used share of the retry budget from which no canary request is sent.
 CANARY_BUDGET_SHARE = 0.5
-# Shares of the maximum wait after which any risk is accepted: where a
-# failure is final, and where another attempt may follow.
-FINAL_ATTEMPT_WAIT_SHARE = 0.8
-RETRYABLE_WAIT_SHARE = 0.25
-# Share of the target, and of the time left, for which a request may queue.
-MAX_WAIT_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 3.0
 NO_WORKER_RETRY_AFTER_S = 0.5
@@ -42,7 +36,6 @@
 GRANT_DELIVERY_TIME_S = 0.25
 # Queued requests without a worker after which one dispatch stops trying.
 MAX_MISSES = 8
-MAX_QUEUE_LENGTH = 2000
 MAX_LOGGED_WORKERS = 8  # in one log line
 
 
@@ -66,37 +59,6 @@
     SUCCESS = 1
 
 
-class QueuedRequest(structs.Struct):
-    """A request in the queue; ``sort_key`` puts the most urgent first.
-
-    It waits from ``queued_at`` until ``expires`` at most, in seconds.
-    """
-
-    __slots__ = ("sort_key", "request", "sender", "queued_at", "expires")
-
-    def find_max_risk(self, now):
-        """Return the highest risk that the request accepts at present.
-
-        It grows with the share of the maximum wait that has elapsed.
-        """
-        max_wait = max(self.expires - self.queued_at, 1e-6)
-        wait_share = (
-            FINAL_ATTEMPT_WAIT_SHARE
-            if self.request.is_last_attempt
-            else RETRYABLE_WAIT_SHARE
-        )
-        elapsed_share = min(
-            1.0, (now - self.queued_at) / (wait_share * max_wait)
-        )
-        return (
-            selection.INITIAL_MAX_RISK
-            + (1.0 - selection.INITIAL_MAX_RISK) * elapsed_share
-        )
-
-    def __lt__(self, other):
-        return self.sort_key < other.sort_key
-
-
 class InFlightRequest(structs.Struct):
     """An in-flight request at a worker; times in seconds.
 
@@ -136,7 +98,6 @@
         "budget",
         "crashes",
         "random",
-        "queue_counter",
         "in_flight",
         "priorities",
         "floor",
@@ -150,14 +111,13 @@
     def __init__(self, service, terms, random, started=None, ledger=None):
         self.service = service
         self.workers = {}
-        self.queue = []
+        self.queue = admission.AdmissionQueue()
         self.latencies = {}
         self.budget = budgets.RetryBudget(
             terms.ratio, terms.slack, terms.window, started
         )
         self.crashes = crashes.CrashLedger() if ledger is None else ledger
         self.random = random
-        self.queue_counter = 0
         self.in_flight = {}
         self.priorities = budgets.DecayingShares(terms.window)
         self.floor = terms.floor
@@ -270,8 +230,9 @@
         ):
             return self._make_grant(request, active.worker)
         self._remove_in_flight(request.attempt_id)
-        if any(q.request.attempt_id == request.attempt_id for q in self.queue):
+        if self.queue.has_attempt(request.attempt_id):
             return messages.GrantQueued(request.attempt_id)
+        self.queue.record_arrival(request, now)
         refusal = self._find_refusal(request, now)
         if refusal is not None:
             return refusal
@@ -347,39 +308,31 @@
 
     def _refuse(self, request, reason, retry_after, now):
         self.recent_results.add(ResultClass.FAILURE, now)
+        self.queue.record_refusal(request, now)
         return messages.GrantRefusal(
             request.attempt_id, reason, round(retry_after, 2)
         )
 
     def _has_runnable_ahead(self, request, now):
         """Return whether a request as urgent is queued that could run now."""
-        for queued in self.queue:
-            if queued.sort_key[0] > request.priority:
-                return False
-            if not self._is_suspect_in_flight(queued.request, now):
-                return True
-        return False
+        level = self.queue.find_level(request)
+        return any(
+            queued.level <= level
+            and not self._is_suspect_in_flight(queued.request, now)
+            for queued in self.queue
+        )
 
     def _enqueue(self, request, sender, now):
-        max_wait = min(
-            MAX_WAIT_SHARE * request.target, MAX_WAIT_SHARE * request.time_left
-        )
+        max_wait = self.queue.find_max_wait(request)
         wait = self.estimate_wait(request, now)
-        if wait > max_wait or len(self.queue) >= MAX_QUEUE_LENGTH:
+        if wait > max_wait or len(self.queue) >= admission.MAX_QUEUE_LENGTH:
             worker = self.choose_worker(request, now)
             if worker is not None:
                 return self._grant(request, worker, now)
             return self._refuse(
                 request, RefusalReason.OVERLOAD, self._add_jitter(wait), now
             )
-        self.queue_counter += 1
-        sort_key = (
-            request.priority,
-            now + request.time_left,
-            self.queue_counter,
-        )
-        queued = QueuedRequest(sort_key, request, sender, now, now + max_wait)
-        bisect.insort(self.queue, queued)
+        self.queue.add(request, sender, max_wait, now)
         return messages.GrantQueued(request.attempt_id)
 
     def _add_jitter(self, wait):
@@ -396,14 +349,7 @@
         )
         if not slots:
             return request.target
-        sort_key = (
-            request.priority,
-            now + request.time_left,
-            self.queue_counter + 1,
-        )
-        ahead = bisect.bisect(
-            self.queue, QueuedRequest(sort_key, request, None, now, now)
-        )
+        ahead = self.queue.count_ahead(request, now)
         mean = self._find_latency(request.route, request.target).mean
         return (ahead + 1) * mean / slots
 
@@ -468,6 +414,7 @@
     def _grant(self, request, worker, now):
         if not request.is_last_attempt:
             self.onset_rate.scout_routes.add(request.route)
+        self.queue.record_grant(request, now)
         self._count_attempt(request, now)
         self._add_in_flight(request, worker, now, granted_here=True)
         return self._make_grant(request, worker)
@@ -571,9 +518,14 @@
             "budget_used": round(self.budget.measure_used_share(now), 3),
         }
 
-    def describe_budget(self, request, now):
-        """Return the used and the usable share of the budget, to log."""
+    def describe_refusal(self, request, now):
+        """Return the state that explains a refusal, to log."""
         return {
+            "expected_wait": round(self.estimate_wait(request, now), 3),
+            "max_wait": round(self.queue.find_max_wait(request), 3),
+            "served_share": round(self.queue.measure_served_share(now), 3),
+            "rate": round(self.queue.measure_rate(now), 1),
+            "workspace": request.workspace,
             "budget_used": round(self.budget.measure_used_share(now), 3),
             "budget_share": round(self._find_budget_share(request, now), 3),
         }
@@ -584,6 +536,7 @@
             return
         worker = self.workers.get(notice.worker_id)
         self._count_attempt(notice, now)
+        self.queue.record_remote_grant(notice, now)
         if worker is not None:
             self._add_in_flight(notice, worker, now)
 
@@ -647,9 +600,7 @@
 
     def withdraw(self, attempt_id):
         """Remove a request whose caller no longer waits for it."""
-        self.queue = [
-            q for q in self.queue if q.request.attempt_id != attempt_id
-        ]
+        self.queue.remove(attempt_id)
         self._remove_in_flight(attempt_id)
 
     def dispatch(self, now):
@@ -659,7 +610,7 @@
         not tried, so that a long queue costs no more than a short one.
         """
         answers, remaining, misses = [], [], 0
-        for queued in self.queue:
+        for queued in self.queue.sort(now):
             request, worker = queued.request, None
             quarantined = self.crashes.is_quarantined(request.fingerprint, now)
             if misses < MAX_MISSES and not quarantined:
@@ -686,7 +637,7 @@
                 remaining.append(queued)
                 continue
             answers.append((queued.sender, queued.request, answer))
-        self.queue = remaining
+        self.queue.entries = remaining
         return answers
 
     def sweep(self, now):
--- a/packages/coordination/acaciafield/gateway/selection.py
+++ b/packages/coordination/acaciafield/gateway/selection.py
@@ -13,8 +13,8 @@
 # follows.
 FINAL_RISK_WEIGHT = 20.0
 RETRYABLE_RISK_WEIGHT = 3.0
-# Cost of a worker in another availability zone, to which answers of this
-# many bytes add 1.
+# Cost of a worker in another availability zone, to which a request and its
+# answer of this many bytes together add 1.
 REMOTE_ZONE_COST = 0.15
 BYTES_PER_REMOTE_COST = 60000.0
 WARM_UP_COST = 0.5
@@ -52,7 +52,7 @@
 
     A worker above ``max_risk`` is left out, unless a canary request is due
     to test whether it has recovered and the request ``may_be_canary``.
-    ``size`` is the usual size of an answer in bytes, ``latencies`` a
+    ``size`` is the usual size of request and answer in bytes, ``latencies`` a
     backends.RouteLatency by route, ``onset_rate`` the rate at which a worker
     begins to fail.
     """
@@ -98,7 +98,11 @@
         age = now - worker.find_proven_at(now)
         if request.is_last_attempt:
             return -FINAL_RISK_WEIGHT * min(MAX_STALE_RISK, onset_rate * age)
-        return SCOUT_WEIGHT * min(MAX_STALE_RISK, onset_rate * idle_time)
+        bonus = SCOUT_WEIGHT * min(MAX_STALE_RISK, onset_rate * idle_time)
+        # Callers of the worker's own zone find out without a remote transfer.
+        if worker.entry.zone != request.zone:
+            return min(LONG_IDLE_BONUS, bonus)
+        return bonus
     if idle_time <= IDLE_TIME_S:
         return 0.0
     return LONG_IDLE_BONUS if idle_time > LONG_IDLE_TIME_S else IDLE_BONUS
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -342,7 +342,7 @@
             call.route.name,
             result.ending.value,
             round(result.latency, 3),
-            result.size,
+            result.size + len(call.outgoing.body),
             result.load,
             call.fingerprint,
             grant.entry_version[0],
