--- a/bench/admission.py
+++ b/bench/admission.py
@@ -2,18 +2,22 @@
 
 ``python -m bench.admission [name ...]`` prints, for each load, how requests
 end by kind and by workspace, next to an oracle that knows all work in
-advance. One scheduler for each availability zone decides; its messages to
-the others arrive late.
+advance. ``policies`` compares choices of a worker on the quiet load, ``cost``
+prints the processor time of a decision. One scheduler for each availability
+zone decides; its messages to the others arrive late.
 """
 
 import heapq
 import math
 import random
 import sys
+import time
+import types
 
 from acaciafield.gateway import backends
 from acaciafield.gateway import messages
 from acaciafield.gateway import scheduling
+from acaciafield.gateway import selection
 from acaciafield.gateway import terms
 from acaciafield import structs
 
@@ -39,7 +43,8 @@
 RELEASE_AWAY_S = 4.0  # from the drain of a worker until its return
 WARM_UP_S = 3.0  # in which a new worker has half its speed
 WORKSPACE_COUNT = 87
-TIMELY_REFUSAL_SHARE = 0.125  # of the target
+CHOOSE_WORKER = selection.choose_worker
+POLICY_RANDOM = random.Random(3)
 
 
 class Kind(structs.Struct):
@@ -604,7 +609,102 @@
     print_result("    oracle", oracle)
 
 
+def measure_cost():
+    """Return the processor time of one decision at 285 workers, in ms.
+
+    Failures are recorded, some requests are queued, and scouts are known.
+    """
+    load = Load("cost", RENDERING, 285, 6, 2.0, zones=1)
+    simulation = AdmissionSimulation(load, 1)
+    scheduler = simulation.schedulers["z0"]
+    spent = []
+    decide = scheduler.decide
+
+    def measure_decide(request, sender, now):
+        started = time.process_time()
+        answer = decide(request, sender, now)
+        spent.append(time.process_time() - started)
+        return answer
+
+    timed = types.SimpleNamespace(
+        decide=measure_decide,
+        dispatch=scheduler.dispatch,
+        apply_report=scheduler.apply_report,
+        measure_usage=scheduler.measure_usage,
+    )
+    simulation.schedulers["z0"] = timed
+    simulation.run()
+    return 1000.0 * sum(spent) / len(spent)
+
+
+def choose_fewest(workers, request, now, *fields):
+    """Return the eligible worker with the fewest requests in flight."""
+    eligible = [w for w in workers if selection.is_eligible(w, request, now)]
+    return min(eligible, key=lambda w: len(w.in_flight), default=None)
+
+
+def choose_of_two(workers, request, now, *fields):
+    """Return the less loaded of two eligible workers chosen at random."""
+    eligible = [w for w in workers if selection.is_eligible(w, request, now)]
+    if len(eligible) > 2:
+        eligible = POLICY_RANDOM.sample(eligible, 2)
+    return min(eligible, key=lambda w: len(w.in_flight), default=None)
+
+
+def choose_without_onsets(*fields):
+    """Return the worker that was chosen before onsets were measured."""
+    return CHOOSE_WORKER(*fields[:7])
+
+
+def compare_policies(seeds=(1, 2)):
+    """Print latency and failed orders for several choices of a worker."""
+    policies = {
+        "fewest": choose_fewest,
+        "two choices": choose_of_two,
+        "before": choose_without_onsets,
+        "now": CHOOSE_WORKER,
+    }
+    for name, policy in policies.items():
+        calls, remote = [], 0
+        selection.choose_worker = policy
+        for seed in seeds:
+            simulation = AdmissionSimulation(LOADS[0], seed).run()
+            calls += simulation.calls
+            remote += simulation.remote_bytes
+        selection.choose_worker = CHOOSE_WORKER
+        latencies = sorted(
+            c.ended_at - c.arrived_at for c in calls if c.outcome == "served"
+        )
+        print(
+            "%-12s mean %.3f s p99 %.3f s failed orders %d of %d "
+            "served %.4f remote %.2f MB/s"
+            % (
+                name,
+                sum(latencies) / len(latencies),
+                latencies[int(0.99 * len(latencies))],
+                sum(
+                    c.outcome == "failed" and not c.kind.idempotent
+                    for c in calls
+                ),
+                sum(not c.kind.idempotent for c in calls),
+                measure(calls)["served"],
+                remote / 1e6 / len(seeds) / DURATION_S,
+            )
+        )
+
+
+def main():
+    """Play the loads named on the command line, or all of them."""
+    if sys.argv[1:] == ["cost"]:
+        print("a decision at 285 workers takes %.3f ms" % measure_cost())
+        return
+    if sys.argv[1:] == ["policies"]:
+        compare_policies()
+        return
+    for load in LOADS:
+        if len(sys.argv) < 2 or load.name in sys.argv[1:]:
+            play(load)
+
+
 if __name__ == "__main__":
-    for played_load in LOADS:
-        if len(sys.argv) < 2 or played_load.name in sys.argv[1:]:
-            play(played_load)
+    main()
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -26,6 +26,10 @@
 MAX_RESERVED_SHARE = 0.25
 # Used share of the retry budget from which no canary request is sent.
 CANARY_BUDGET_SHARE = 0.5
+# Retry-After of a request refused for overload, as shares of its time left.
+# Callers honour up to a third; an earlier return meets the same overload.
+MIN_RETURN_SHARE = 0.15
+MAX_RETURN_SHARE = 0.3
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 3.0
 NO_WORKER_RETRY_AFTER_S = 0.5
@@ -330,14 +334,18 @@
             if worker is not None:
                 return self._grant(request, worker, now)
             return self._refuse(
-                request, RefusalReason.OVERLOAD, self._add_jitter(wait), now
+                request,
+                RefusalReason.OVERLOAD,
+                self._spread_return(request.time_left),
+                now,
             )
         self.queue.add(request, sender, max_wait, now)
         return messages.GrantQueued(request.attempt_id)
 
-    def _add_jitter(self, wait):
-        """Return a retry delay with jitter, so that retries spread out."""
-        retry_after = wait * (0.5 + self.random.random())
+    def _spread_return(self, time_left):
+        """Return a Retry-After that spreads the callers that return."""
+        share = self.random.uniform(MIN_RETURN_SHARE, MAX_RETURN_SHARE)
+        retry_after = share * time_left
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after))
 
     def estimate_wait(self, request, now):
@@ -626,11 +634,10 @@
                     request, RefusalReason.QUARANTINED, MAX_RETRY_AFTER_S, now
                 )
             elif now >= queued.expires:
-                wait = self.estimate_wait(queued.request, now)
                 answer = self._refuse(
                     queued.request,
                     RefusalReason.EXPIRED,
-                    self._add_jitter(wait),
+                    self._spread_return(queued.deadline - now),
                     now,
                 )
             else:
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -164,6 +164,23 @@
     assert shares["failed"] < 0.0175
 
 
+def test_refused_callers_return_within_a_third_of_their_time():
+    """Guards against a Retry-After that callers do not honour."""
+    scheduler = support.make_scheduler(1, slots=1)
+    answers = [
+        scheduler.decide(
+            support.make_grant_request("q%d:1" % n, time_left=4.0), "", 1.0
+        )
+        for n in range(60)
+    ]
+    delays = {
+        a.retry_after for a in answers if isinstance(a, messages.GrantRefusal)
+    }
+    assert len(delays) > 10
+    assert min(delays) >= 0.5
+    assert max(delays) <= 4.0 / 3.0
+
+
 def test_queue_wait_ends_with_an_answer_for_each_request():
     scheduler = support.make_scheduler(1, slots=1)
     answers = [
