Let retryable requests try risky workers past waiting orders

A dispatch stops after 8 requests that found no worker. Orders accept only workers of little risk for most of their wait, so under overload 8 of them kept the requests behind them, which would try a risky worker, from any: workers that had recovered stayed idle. The misses are now counted apart for final attempts. Requests that may be retried again accept any risk after 0.25 of their wait, as the shorter share is no longer of use.

The new test fails without the change.

--- a/packages/coordination/acaciafield/gateway/admission.py
+++ b/packages/coordination/acaciafield/gateway/admission.py
@@ -14,9 +14,9 @@
 
 # Shares of the maximum wait after which any risk is accepted: where a
 # failure is final, and where another attempt may follow. The latter finds
-# out almost at once which workers have recovered, as capacity is short.
+# out which workers have recovered.
 FINAL_ATTEMPT_WAIT_SHARE = 0.8
-RETRYABLE_WAIT_SHARE = 0.05
+RETRYABLE_WAIT_SHARE = 0.25
 # Share of the target, and of the time left, for which a request may queue.
 MAX_WAIT_SHARE = 0.5
 MAX_QUEUE_LENGTH = 2000
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -5,6 +5,7 @@
 that cannot be served in time is refused at once.
 """
 
+import collections
 import enum
 import math
 
@@ -615,18 +616,21 @@
         """Return (sender, request, answer) for requests that leave the queue.
 
         Once MAX_MISSES requests found no worker, the less urgent ones are
-        not tried, so that a long queue costs no more than a short one.
+        not tried, so that a long queue costs no more than a short one. They
+        are counted apart for requests whose failure is final, as the others
+        accept workers of more risk.
         """
-        answers, remaining, misses = [], [], 0
+        answers, remaining, misses = [], [], collections.Counter()
         for queued in self.queue.sort(now):
             request, worker = queued.request, None
             quarantined = self.crashes.is_quarantined(request.fingerprint, now)
-            if misses < MAX_MISSES and not quarantined:
+            is_last = request.is_last_attempt
+            if misses[is_last] < MAX_MISSES and not quarantined:
                 max_risk = queued.find_max_risk(now)
                 worker = self.choose_worker(request, now, max_risk)
-                misses += worker is None and not self._is_suspect_in_flight(
-                    request, now
-                )
+                if worker is None:
+                    is_suspect = self._is_suspect_in_flight(request, now)
+                    misses[is_last] += not is_suspect
             if worker is not None:
                 answer = self._grant(request, worker, now)
             elif quarantined:
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -5,6 +5,7 @@
 from acaciafield.gateway import effects
 from acaciafield.gateway import events
 from acaciafield.gateway import messages
+from acaciafield.gateway import scheduling
 from bench import admission as played
 from tests import gateway_support as support
 
@@ -143,7 +144,7 @@
     (load,) = [row for row in played.LOADS if row.name == "heavy"]
     simulation = played.AdmissionSimulation(load, 1).run()
     shares = played.measure(simulation.calls)
-    assert shares["served"] > 0.77
+    assert shares["served"] > 0.8
     kinds = played.group_calls(simulation.calls, lambda c: c.kind.name)
     served = [played.measure(calls)["served"] for calls in kinds.values()]
     assert min(served) >= 0.25 * shares["served"]
@@ -164,6 +165,27 @@
     assert shares["failed"] < 0.0175
 
 
+def test_orders_that_wait_for_healthy_workers_hold_up_no_retryable_request():
+    """Guards against idle risky workers that nobody tries under overload."""
+    scheduler = support.make_scheduler(2, slots=1)
+    scheduler.decide(support.make_grant_request("run:1"), "", 1.0)
+    scheduler.decide(support.make_grant_request("bad:1"), "", 1.0)
+    for number in range(scheduling.MAX_MISSES + 4):
+        request = support.make_grant_request(
+            "o%d:1" % number, priority=0, idempotent=False, target=60.0
+        )
+        request.time_left = 60.0
+        scheduler.decide(request, "", 1.0)
+    safe = support.make_grant_request("safe:1", priority=2, target=4.0)
+    safe.time_left = 8.0
+    scheduler.queue.add(safe, "", 2.0, 1.0)
+    report = support.make_report("bad:1", "w2", "failed")
+    scheduler.apply_report(report, 1.0)
+    ((_, request, answer),) = scheduler.dispatch(1.5)
+    assert request.attempt_id == "safe:1"
+    assert answer.worker_id == "w2"
+
+
 def test_refused_callers_return_within_a_third_of_their_time():
     """Guards against a Retry-After that callers do not honour."""
     scheduler = support.make_scheduler(1, slots=1)
