--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -5,10 +5,11 @@
 that cannot be served in time is refused at once.
 """
 
-import bisect
+import collections
 import enum
 import math
 
+from acaciafield.gateway import admission
 from acaciafield.gateway import backends
 from acaciafield.gateway import budgets
 from acaciafield.gateway import crashes
@@ -16,6 +17,7 @@
 from acaciafield.gateway import floors
 from acaciafield.gateway import hedging
 from acaciafield.gateway import messages
+from acaciafield.gateway import onsets
 from acaciafield.gateway import selection
 from acaciafield import outcomes
 from acaciafield import structs
@@ -26,12 +28,10 @@
 MAX_RESERVED_SHARE = 0.25
 # Used share of the retry budget from which no canary request is sent.
 CANARY_BUDGET_SHARE = 0.5
-# Shares of the maximum wait after which any risk is accepted: where a
-# failure is final, and where another attempt may follow.
-FINAL_ATTEMPT_WAIT_SHARE = 0.8
-RETRYABLE_WAIT_SHARE = 0.25
-# Share of the target, and of the time left, for which a request may queue.
-MAX_WAIT_SHARE = 0.5
+# Retry-After of a request refused for overload, as shares of its time left.
+# Callers honour up to a third; an earlier return meets the same overload.
+MIN_RETURN_SHARE = 0.15
+MAX_RETURN_SHARE = 0.3
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 3.0
 NO_WORKER_RETRY_AFTER_S = 0.5
@@ -41,7 +41,6 @@
 GRANT_DELIVERY_TIME_S = 0.25
 # Queued requests without a worker after which one dispatch stops trying.
 MAX_MISSES = 8
-MAX_QUEUE_LENGTH = 2000
 MAX_LOGGED_WORKERS = 8  # in one log line
 
 
@@ -66,37 +65,6 @@
     SUCCESS = 1
 
 
-class QueuedRequest(structs.Struct):
-    """A request in the queue; ``sort_key`` puts the most urgent first.
-
-    It waits from ``queued_at`` until ``expires`` at most, in seconds.
-    """
-
-    __slots__ = ("sort_key", "request", "sender", "queued_at", "expires")
-
-    def find_max_risk(self, now):
-        """Return the highest risk that the request accepts at present.
-
-        It grows with the share of the maximum wait that has elapsed.
-        """
-        max_wait = max(self.expires - self.queued_at, 1e-6)
-        wait_share = (
-            FINAL_ATTEMPT_WAIT_SHARE
-            if self.request.is_last_attempt
-            else RETRYABLE_WAIT_SHARE
-        )
-        elapsed_share = min(
-            1.0, (now - self.queued_at) / (wait_share * max_wait)
-        )
-        return (
-            selection.INITIAL_MAX_RISK
-            + (1.0 - selection.INITIAL_MAX_RISK) * elapsed_share
-        )
-
-    def __lt__(self, other):
-        return self.sort_key < other.sort_key
-
-
 class InFlightRequest(structs.Struct):
     """An in-flight request at a worker; times in seconds.
 
@@ -136,7 +104,6 @@
         "budget",
         "crashes",
         "random",
-        "queue_counter",
         "in_flight",
         "priorities",
         "floor",
@@ -145,19 +112,19 @@
         "last_request_at",
         "recent_results",
         "hedges",
+        "onset_rate",
     )
 
     def __init__(self, service, terms, random, started=None, ledger=None):
         self.service = service
         self.workers = {}
-        self.queue = []
+        self.queue = admission.AdmissionQueue()
         self.latencies = {}
         self.budget = budgets.RetryBudget(
             terms.ratio, terms.slack, terms.window, started
         )
         self.crashes = crashes.CrashLedger() if ledger is None else ledger
         self.random = random
-        self.queue_counter = 0
         self.in_flight = {}
         self.priorities = budgets.DecayingShares(terms.window)
         self.floor = terms.floor
@@ -166,6 +133,7 @@
         self.last_request_at = None
         self.recent_results = budgets.DecayingShares(floors.WINDOW_S)
         self.hedges = hedging.HedgeControl(terms.window)
+        self.onset_rate = onsets.OnsetRate()
 
     def update_entries(self, entries, now):
         """Replace the list of workers, but preserve the state of each."""
@@ -270,8 +238,9 @@
         ):
             return self._make_grant(request, active.worker, now)
         self._remove_in_flight(request.attempt_id)
-        if any(q.request.attempt_id == request.attempt_id for q in self.queue):
+        if self.queue.has_attempt(request.attempt_id):
             return messages.GrantQueued(request.attempt_id)
+        self.queue.record_arrival(request, now)
         refusal = self._find_refusal(
             request, now
         ) or self.hedges.prepare_hedge(request, self, now)
@@ -349,48 +318,44 @@
 
     def _refuse(self, request, reason, retry_after, now):
         self.recent_results.add(ResultClass.FAILURE, now)
+        self.queue.record_refusal(request, now)
         return messages.GrantRefusal(
             request.attempt_id, reason, round(retry_after, 2)
         )
 
     def _has_runnable_ahead(self, request, now):
         """Return whether a request as urgent is queued that could run now."""
-        for queued in self.queue:
-            if queued.sort_key[0] > request.priority:
-                return False
-            if not self._is_suspect_in_flight(queued.request, now):
-                return True
-        return False
+        level = self.queue.find_level(request)
+        return any(
+            queued.level <= level
+            and not self._is_suspect_in_flight(queued.request, now)
+            for queued in self.queue
+        )
 
     def _enqueue(self, request, sender, now):
         if not self.hedges.may_queue(request):
             return self.hedges.refuse(
                 request, hedging.HedgeRefusal.NO_CAPACITY, self.latencies
             )
-        max_wait = min(
-            MAX_WAIT_SHARE * request.target, MAX_WAIT_SHARE * request.time_left
-        )
+        max_wait = self.queue.find_max_wait(request)
         wait = self.estimate_wait(request, now)
-        if wait > max_wait or len(self.queue) >= MAX_QUEUE_LENGTH:
+        if wait > max_wait or len(self.queue) >= admission.MAX_QUEUE_LENGTH:
             worker = self.choose_worker(request, now)
             if worker is not None:
                 return self._grant(request, worker, now)
             return self._refuse(
-                request, RefusalReason.OVERLOAD, self._add_jitter(wait), now
+                request,
+                RefusalReason.OVERLOAD,
+                self._spread_return(request.time_left),
+                now,
             )
-        self.queue_counter += 1
-        sort_key = (
-            request.priority,
-            now + request.time_left,
-            self.queue_counter,
-        )
-        queued = QueuedRequest(sort_key, request, sender, now, now + max_wait)
-        bisect.insort(self.queue, queued)
+        self.queue.add(request, sender, max_wait, now)
         return messages.GrantQueued(request.attempt_id)
 
-    def _add_jitter(self, wait):
-        """Return a retry delay with jitter, so that retries spread out."""
-        retry_after = wait * (0.5 + self.random.random())
+    def _spread_return(self, time_left):
+        """Return a Retry-After that spreads the callers that return."""
+        share = self.random.uniform(MIN_RETURN_SHARE, MAX_RETURN_SHARE)
+        retry_after = share * time_left
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after))
 
     def estimate_wait(self, request, now):
@@ -402,14 +367,7 @@
         )
         if not slots:
             return request.target
-        sort_key = (
-            request.priority,
-            now + request.time_left,
-            self.queue_counter + 1,
-        )
-        ahead = bisect.bisect(
-            self.queue, QueuedRequest(sort_key, request, None, now, now)
-        )
+        ahead = self.queue.count_ahead(request, now)
         mean = self._find_latency(request.route, request.target).mean
         return (ahead + 1) * mean / slots
 
@@ -447,6 +405,7 @@
             size,
             self.latencies,
             self._may_send_canary(request, now),
+            self.onset_rate.measure_rate(),
         )
 
     def _find_floor_share(self, request, now):
@@ -471,6 +430,9 @@
         return self.budget.measure_used_share(now) < CANARY_BUDGET_SHARE
 
     def _grant(self, request, worker, now):
+        if not request.is_last_attempt:
+            self.onset_rate.scout_routes.add(request.route)
+        self.queue.record_grant(request, now)
         self._count_attempt(request, now)
         self._add_in_flight(request, worker, now, granted_here=True)
         return self._make_grant(request, worker, now)
@@ -481,6 +443,7 @@
             self.budget.add_repeat(now)
         else:
             self.budget.add_first_attempt(now)
+            self.onset_rate.add_first_attempt(message.route)
 
     def _add_in_flight(self, request, worker, now, granted_here=False):
         active = InFlightRequest(
@@ -499,7 +462,7 @@
     def _register_in_flight(self, active):
         worker = active.worker
         worker.in_flight[active.attempt_id] = active
-        worker.granted_at = max(worker.granted_at, active.started)
+        worker.record_grant(active.started, active.started)
         self.in_flight[active.attempt_id] = active
 
     def _remove_in_flight(self, attempt_id):
@@ -573,9 +536,14 @@
             "budget_used": round(self.budget.measure_used_share(now), 3),
         }
 
-    def describe_budget(self, request, now):
-        """Return the used and the usable share of the budget, to log."""
+    def describe_refusal(self, request, now):
+        """Return the state that explains a refusal, to log."""
         return {
+            "expected_wait": round(self.estimate_wait(request, now), 3),
+            "max_wait": round(self.queue.find_max_wait(request), 3),
+            "served_share": round(self.queue.measure_served_share(now), 3),
+            "rate": round(self.queue.measure_rate(now), 1),
+            "workspace": request.workspace,
             "budget_used": round(self.budget.measure_used_share(now), 3),
             "budget_share": round(self._find_budget_share(request, now), 3),
         }
@@ -586,6 +554,7 @@
             return
         worker = self.workers.get(notice.worker_id)
         self._count_attempt(notice, now)
+        self.queue.record_remote_grant(notice, now)
         if worker is not None:
             self._add_in_flight(notice, worker, now)
 
@@ -606,13 +575,14 @@
             evidence.record_unlisted_attempt(report, self.crashes, now)
             return []
         ran_alone = worker.ran_alone(now)
+        failures_before = worker.failures
         if report.load is not None:
             self._remove_lost(worker, report.load, now)
         self.hedges.record_report(report, self.latencies, now)
         if succeeded:
             # A first answer sets the mean: 4.0 is 1 / INITIAL_LATENCY_SHARE.
             self._find_latency(report.route, report.latency * 4.0)
-        return evidence.record_attempt(
+        refuted = evidence.record_attempt(
             worker,
             report,
             self.latencies,
@@ -621,6 +591,11 @@
             earliest_end,
             now,
         )
+        self.onset_rate.advance(len(self.workers), now)
+        # A second failure in a row tells an onset from an error of a request.
+        if failures_before == 1 and worker.failures == 2:
+            self.onset_rate.add_onset()
+        return refuted
 
     def _remove_lost(self, worker, load, now):
         """Remove the oldest in-flight requests that the worker lacks.
@@ -644,27 +619,28 @@
 
     def withdraw(self, attempt_id):
         """Remove a request whose caller no longer waits for it."""
-        self.queue = [
-            q for q in self.queue if q.request.attempt_id != attempt_id
-        ]
+        self.queue.remove(attempt_id)
         self._remove_in_flight(attempt_id)
 
     def dispatch(self, now):
         """Return (sender, request, answer) for requests that leave the queue.
 
         Once MAX_MISSES requests found no worker, the less urgent ones are
-        not tried, so that a long queue costs no more than a short one.
+        not tried, so that a long queue costs no more than a short one. They
+        are counted apart for requests whose failure is final, as the others
+        accept workers of more risk.
         """
-        answers, remaining, misses = [], [], 0
-        for queued in self.queue:
+        answers, remaining, misses = [], [], collections.Counter()
+        for queued in self.queue.sort(now):
             request, worker = queued.request, None
             quarantined = self.crashes.is_quarantined(request.fingerprint, now)
-            if misses < MAX_MISSES and not quarantined:
+            is_last = request.is_last_attempt
+            if misses[is_last] < MAX_MISSES and not quarantined:
                 max_risk = queued.find_max_risk(now)
                 worker = self.choose_worker(request, now, max_risk)
-                misses += worker is None and not self._is_suspect_in_flight(
-                    request, now
-                )
+                if worker is None:
+                    is_suspect = self._is_suspect_in_flight(request, now)
+                    misses[is_last] += not is_suspect
             if worker is not None:
                 answer = self._grant(request, worker, now)
             elif quarantined:
@@ -672,18 +648,17 @@
                     request, RefusalReason.QUARANTINED, MAX_RETRY_AFTER_S, now
                 )
             elif now >= queued.expires:
-                wait = self.estimate_wait(queued.request, now)
                 answer = self._refuse(
                     queued.request,
                     RefusalReason.EXPIRED,
-                    self._add_jitter(wait),
+                    self._spread_return(queued.deadline - now),
                     now,
                 )
             else:
                 remaining.append(queued)
                 continue
             answers.append((queued.sender, queued.request, answer))
-        self.queue = remaining
+        self.queue.entries = remaining
         return answers
 
     def sweep(self, now):
