--- a/tests/gateway_quota_simulation.py
+++ b/tests/gateway_quota_simulation.py
@@ -62,7 +62,8 @@
     the time and reason of each refusal, by workspace. ``lost_share`` and
     ``doubled_share`` of the messages are lost and duplicated, the others
     take up to ``max_delay``. ``cut_links`` has pairs of a sender and a
-    receiver, as addresses. A worker takes ``latency`` for a request.
+    receiver, as addresses. A worker takes ``latency`` for a request. The
+    nodes of ``down_states`` were killed and have not started again.
     """
 
     def __init__(self, random, zones=3, count=2, slots=100_000):
@@ -85,6 +86,7 @@
         self.calls_by_id = {}
         self.version = 0
         self.limits = {}
+        self.down_states = set()
         self._ids = itertools.count(1)
 
     def configure(self, limits, max_delay=0.0):
@@ -103,15 +105,21 @@
 
         self.plan(self.now + self.random.random() * max_delay, apply)
 
-    def restart(self):
-        """Kill and restart all nodes."""
-        super().restart()
-        self.calls_by_id.clear()
-        for state in self.states.values():
-            self._configure_node(state, 0.5)
+    def restart(self, min_downtime=0.0, max_downtime=0.0):
+        """Kill all nodes; each starts again after its downtime."""
+        if not max_downtime:
+            super().restart()
+            self.calls_by_id.clear()
+            for state in self.states.values():
+                self._configure_node(state, 0.5)
+            return
+        for name in list(self.states):
+            spread = max_downtime - min_downtime
+            downtime = min_downtime + spread * self.random.random()
+            self.restart_node(name, downtime)
 
-    def restart_node(self, name):
-        """Kill and restart one node."""
+    def restart_node(self, name, downtime=0.0):
+        """Kill one node, which starts again after ``downtime``."""
         old = self.states[name]
         self.set_reading(old, False)
         for attempt_id, call in list(self.calls_by_id.items()):
@@ -123,15 +131,28 @@
             incarnation=old.local_member.incarnation + 1,
         )
         self._add(state)
-        state.is_ready = True
-        found = [other.local_member for other in self.states.values()]
-        self.feed(state, events.MembersRead(self.now, found))
-        state.start(self.now)
-        self._plan_tick(state)
-        self._configure_node(state, 0.5)
+        self.down_states.add(state)
+
+        def start(now):
+            self.down_states.discard(state)
+            if self.states[name] is not state:
+                return
+            state.is_ready = True
+            found = [other.local_member for other in self.states.values()]
+            self.feed(state, events.MembersRead(self.now, found))
+            state.start(self.now)
+            self._plan_tick(state)
+            self._configure_node(state, 0.5)
+
+        if downtime:
+            self.plan(self.now + downtime, start)
+        else:
+            start(self.now)
 
     def feed(self, state, event):
         """Feed an event to a node, which may set an earlier timer."""
+        if state in self.down_states:
+            return
         super().feed(state, event)
         if state.exchange.waiting:
 
@@ -189,6 +210,8 @@
 
         def start(now):
             state = self.states[name]
+            if state in self.down_states:
+                return
             attempt_id = "r%d:1" % next(self._ids)
             request = support.make_grant_request(
                 attempt_id,
