Count members again soon after a change of coordinators

Cause: a member counted at a new coordinator only 1.5 s after its first heartbeat there, again after each restart of the coordinator, and after each gap in its heartbeats; meanwhile its part of each limit was unused.

Change: heartbeats tell for how long the member has named no other coordinator (named_time), so that one coordinator's restart or a lost heartbeat costs no second wait. A heartbeat counts for 0.75 s instead of 1.2 s and the qualification takes 1.0 s instead of 1.5 s. A member that changes its coordinator sends the former one a heartbeat as well; once that has answered, the new one counts the member at once. Coordinators ignore heartbeats older than a member's last one.

--- a/bench/quota_takeovers.py
+++ b/bench/quota_takeovers.py
@@ -58,7 +58,10 @@
     """
 
     def refuse(now):
-        coordinators = find_coordinators(fleet, now)
+        coordinators = {
+            zone: fleet.find_coordinator(zone, now)
+            for zone in ("z0", "z1", "z2")
+        }
         zone = coordinators["z1"]
         others = sorted(set(fleet.states) - set(coordinators.values()))
         count = len(fleet.states) // 3 - len(coordinators)
@@ -83,17 +86,6 @@
     return fleet.states[name].local_member.zone == zone
 
 
-def find_coordinators(fleet, now):
-    """Return the coordinator by zone, as a node of the zone sees it."""
-    found = {}
-    for state in fleet.states.values():
-        zone = state.local_member.zone
-        if zone not in found:
-            candidate = state.membership.find_coordinator(zone, now)
-            found[zone] = candidate.member.name
-    return found
-
-
 def measure_refusals(plan, seed):
     """Return the refusals in each second, the number of starts, the worst.
 
--- a/packages/coordination/acaciafield/gateway/heartbeats.py
+++ b/packages/coordination/acaciafield/gateway/heartbeats.py
@@ -171,9 +171,15 @@
 
 def _send_heartbeats(state, now, out):
     local_member = state.local_member
-    for candidate in state.membership.list_heartbeat_targets(
+    named = quota_sharing.find_named_coordinator(state, now)
+    named_time = quota_sharing.measure_named_time(state, named)
+    targets = state.membership.list_heartbeat_targets(
         now, force_all=state.leaving
-    ):
+    )
+    for candidate in quota_sharing.list_former_coordinators(state, named):
+        if candidate not in targets:
+            targets.append(candidate)
+    for candidate in targets:
         heartbeat = messages.Heartbeat(
             local_member.name,
             local_member.incarnation,
@@ -192,8 +198,11 @@
                 else ()
             ),
             state.boot_now,
-            coordinator=quota_sharing.find_named_coordinator(state, now),
+            coordinator=named,
+            named_time=named_time,
         )
+        if candidate.member.name == named:
+            state.named_coordinators.record_sent(named, state.boot_now)
         candidate.is_missing_crashes = False
         candidate.record_heartbeat_sent(now)
         if candidate.member.name == local_member.name:
@@ -304,6 +313,7 @@
     candidate.leaving = message.leaving
     state.answered_at = now
     state.has_reached_coordinator = True
+    quota_sharing.record_answer(message, state, now)
     state.freshness.record_answer(
         message.config_version,
         message.heartbeat_sent_at,
--- a/packages/coordination/acaciafield/gateway/messages.py
+++ b/packages/coordination/acaciafield/gateway/messages.py
@@ -167,7 +167,9 @@
     ``sent_at`` is the time of the sender's CLOCK_BOOTTIME in seconds, which
     the answer returns; it means nothing to any other node.
     ``coordinator`` names the coordinator of the sender's zone, "" where no
-    workspace has a quota.
+    workspace has a quota. For ``named_time`` in seconds, None in an older
+    build, no other coordinator of the zone may have counted the sender by
+    a heartbeat, except for the time of quotas.LEASE_S after it.
     """
 
     KIND = 8
@@ -186,12 +188,14 @@
         "crashes",
         "sent_at",
         "coordinator",
+        "named_time",
     )
     DEFAULTS = {
         "crash_digest": "",
         "crashes": (),
         "sent_at": None,
         "coordinator": "",
+        "named_time": None,
     }
 
 
--- a/packages/coordination/acaciafield/gateway/node_state.py
+++ b/packages/coordination/acaciafield/gateway/node_state.py
@@ -97,6 +97,7 @@
         "pauses",
         "quotas",
         "exchange",
+        "named_coordinators",
         "has_quota_timer",
         "hedge_policy",
         "persisted_counts",
@@ -138,6 +139,7 @@
         self.pauses = pauses.Pauses()
         self.quotas = quotas.Quotas(terms)
         self.exchange = quotas.Exchange()
+        self.named_coordinators = quotas.NamedCoordinators()
         self.has_quota_timer = False
         self.hedge_policy = hedging.HedgePolicy()
         self.persisted_counts = []
--- a/packages/coordination/acaciafield/gateway/quota_sharing.py
+++ b/packages/coordination/acaciafield/gateway/quota_sharing.py
@@ -5,6 +5,8 @@
 describes the protocol.
 """
 
+import math
+
 from acaciafield.gateway import effects
 from acaciafield.gateway import handlers
 from acaciafield.gateway import messages
@@ -56,16 +58,59 @@
     return coordinator.member.name if coordinator is not None else ""
 
 
+def list_former_coordinators(state, name):
+    """Return candidates that may count this member, which names another.
+
+    They get a heartbeat as well, so that they stop at once.
+    """
+    candidates = state.membership.candidates
+    return [
+        candidates[other]
+        for other in state.named_coordinators.list_unreleased(
+            name, state.boot_now
+        )
+        if other in candidates
+    ]
+
+
+def measure_named_time(state, name):
+    """Return the ``named_time`` of heartbeats that name a coordinator."""
+    time = state.named_coordinators.measure_time(name, state.boot_now)
+    return math.floor(time * 1000) / 1000 if name else None
+
+
 def record_heartbeat(heartbeat, state, now):
     """Record whether a member of this zone names this coordinator."""
-    if heartbeat.zone == state.local_member.zone and heartbeat.coordinator:
+    # A member without limits names nobody, which ends its lease as well.
+    is_relevant = heartbeat.coordinator or state.quotas.zone_share.has_lease(
+        heartbeat.name
+    )
+    if heartbeat.zone == state.local_member.zone and is_relevant:
         is_named = heartbeat.coordinator == state.local_member.name
         if heartbeat.leaving:
             is_named = False
-        state.quotas.zone_share.record_name(heartbeat.name, is_named, now)
+        state.quotas.zone_share.record_name(
+            heartbeat.name,
+            is_named,
+            now,
+            heartbeat.named_time,
+            heartbeat.incarnation,
+            heartbeat.sent_at,
+        )
+        if not is_named and state.is_coordinating:
+            # The member may count for another coordinator from now on.
+            state.quotas.update_share(_measure_share(state, now), now)
         _start_timer(state, now)
 
 
+def record_answer(answer, state, now):
+    """Name the new coordinator again once the former one has released it."""
+    if state.named_coordinators.record_answer(
+        answer.name, answer.heartbeat_sent_at
+    ):
+        state.timers.subscribe("beat", now, node_state.HeartbeatTimer())
+
+
 def admit(request, state, sender, now, out):
     """Return whether a grant request may go to its scheduler now.
 
--- a/packages/coordination/acaciafield/gateway/quotas.py
+++ b/packages/coordination/acaciafield/gateway/quotas.py
@@ -12,10 +12,13 @@
 
 from acaciafield import structs
 
-LEASE_S = 1.2  # for which a heartbeat counts: two periods and a delay
-# A member that begins to name this coordinator counts after this time, when
-# its lease at the coordinator that it named before has ended.
-QUALIFICATION_S = 1.5
+LEASE_S = 0.75  # for which a heartbeat counts: one period and a delay
+# A member counts if it has sent no other coordinator a heartbeat that names
+# that one for this time, when its leases there have ended. Heartbeats that
+# are later than the difference may let it count twice for a moment.
+QUALIFICATION_S = 1.0
+# For which the order of a member's heartbeats is known after its last one.
+ORDER_TIME_S = 10.0
 # Parts of overage x window, by which starts may follow their tokens.
 HOLD_PART = 0.2  # for which a queued request holds a token
 TRANSFER_PART = 0.5  # from the request for tokens to their latest use
@@ -108,6 +111,17 @@
         self.level = max(0.0, self.level - missing)
 
 
+class Lease(structs.Struct):
+    """A member's last heartbeat; times in seconds.
+
+    ``since`` is when the member last named another coordinator, None if
+    the heartbeat names another one. ``sent_at`` is None or by the clock of
+    the member, ``seen`` by that of this coordinator.
+    """
+
+    __slots__ = ("incarnation", "sent_at", "since", "seen")
+
+
 class ZoneShare:
     """The part of its zone for which a coordinator is responsible.
 
@@ -121,26 +135,100 @@
     def __init__(self):
         self._leases = {}
 
-    def record_name(self, member, is_named, now):
-        """Record whether a member's heartbeat names this coordinator."""
-        if not is_named:
-            self._leases.pop(member, None)
-            return
-        since, seen = self._leases.get(member, (now, now))
-        if now - seen > LEASE_S:
-            since = now
-        self._leases[member] = (since, now)
+    def record_name(
+        self,
+        member,
+        is_named,
+        now,
+        named_time=None,
+        incarnation=0,
+        sent_at=None,
+    ):
+        """Record whether a member's heartbeat names this coordinator.
+
+        ``named_time`` is as of a messages.Heartbeat. A heartbeat that is
+        older than the last one is ignored: the member may already count
+        for another coordinator.
+        """
+        lease = self._leases.get(member)
+        if lease is not None and sent_at is not None:
+            last = (lease.incarnation, lease.sent_at or 0.0)
+            if (incarnation, sent_at) <= last:
+                return
+        since = None
+        if is_named:
+            since = now - (named_time or 0.0)
+            if named_time is None and lease is not None:
+                is_unbroken = now - lease.seen <= LEASE_S
+                if lease.since is not None and is_unbroken:
+                    since = lease.since
+        self._leases[member] = Lease(incarnation, sent_at, since, now)
+
+    def has_lease(self, member):
+        """Return whether a heartbeat of a member is recorded."""
+        return member in self._leases
 
     def count_members(self, now):
-        """Return the number of members that count; drop ended leases."""
-        for member, (_, seen) in list(self._leases.items()):
-            if now - seen > LEASE_S:
+        """Return the number of members that count; drop old leases."""
+        count = 0
+        for member, lease in list(self._leases.items()):
+            age = now - lease.seen
+            if age > ORDER_TIME_S:
                 del self._leases[member]
-        return sum(
-            1
-            for since, _ in self._leases.values()
-            if now - since >= QUALIFICATION_S
-        )
+            elif lease.since is not None and age <= LEASE_S:
+                count += now - lease.since >= QUALIFICATION_S
+        return count
+
+
+class NamedCoordinators:
+    """The coordinators that a member named in heartbeats to them.
+
+    Each may count the member until its lease has ended, or until it
+    answers a later heartbeat that names another one. Times are in seconds
+    of CLOCK_BOOTTIME.
+    """
+
+    __slots__ = ("started_at", "_sent")
+
+    def __init__(self):
+        self.started_at = None
+        self._sent = {}
+
+    def measure_time(self, name, now):
+        """Return for how long no other coordinator was named to itself.
+
+        It is the time since the process started at most, since it does not
+        know what an earlier one sent.
+        """
+        if self.started_at is None:
+            self.started_at = now
+        for other, sent_at in list(self._sent.items()):
+            if now - sent_at > ORDER_TIME_S:
+                del self._sent[other]
+        others = [at for other, at in self._sent.items() if other != name]
+        return min(ORDER_TIME_S, now - max([self.started_at, *others]))
+
+    def record_sent(self, name, now):
+        """Record a heartbeat to a coordinator that names it."""
+        self._sent[name] = now
+
+    def record_answer(self, name, sent_at):
+        """Record a coordinator's answer to the heartbeat of ``sent_at``.
+
+        Return whether the coordinator no longer counts this member.
+        """
+        if sent_at is None or sent_at <= self._sent.get(name, math.inf):
+            return False
+        del self._sent[name]
+        return True
+
+    def list_unreleased(self, name, now):
+        """Return the coordinators other than ``name`` that may count it."""
+        return [
+            other
+            for other, sent_at in self._sent.items()
+            if other != name and now - sent_at < QUALIFICATION_S
+        ]
 
 
 class Quotas:
--- a/tests/gateway_quota_simulation.py
+++ b/tests/gateway_quota_simulation.py
@@ -149,6 +149,13 @@
         else:
             start(self.now)
 
+    def find_coordinator(self, zone, now):
+        """Return the coordinator's name, as the first node of a zone sees."""
+        for state in self.states.values():
+            if state.local_member.zone == zone:
+                return state.membership.find_coordinator(zone, now).member.name
+        return None
+
     def feed(self, state, event):
         """Feed an event to a node, which may set an earlier timer."""
         if state in self.down_states:
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -50,12 +50,32 @@
     zone = fleet.random.choice(zones)
     others = [other for other in zones if other != zone]
     kind = fleet.random.choice(
-        ("kill", "restart", "cut", "zone", "one-way", "store", "stall", "heal")
+        (
+            "kill",
+            "restart",
+            "restarts",
+            "changes",
+            "cut",
+            "zone",
+            "one-way",
+            "store",
+            "stall",
+            "heal",
+        )
     )
     if kind == "kill":
         fleet.restart_node(name)
     elif kind == "restart":
         fleet.restart()
+    elif kind == "restarts":
+        downtime = 0.5 + 0.7 * fleet.random.random()
+        for number in range(3):
+            fleet.plan(
+                fleet.now + 1.7 * number,
+                lambda now: fleet.restart(0.5, downtime),
+            )
+    elif kind == "changes":
+        plan_coordinator_changes(fleet, zones, fleet.now, 5)
     elif kind == "cut":
         fleet.cut(name)
     elif kind == "zone":
@@ -73,6 +93,20 @@
             fleet.heal(other)
 
 
+def plan_coordinator_changes(fleet, zones, begin, count):
+    """Let the store refuse the coordinators of some zones each second."""
+
+    def change(now):
+        fleet.refused = {fleet.find_coordinator(zone, now) for zone in zones}
+
+    def heal(now):
+        fleet.refused = set()
+
+    for number in range(count):
+        fleet.plan(begin + number, change)
+    fleet.plan(begin + count, heal)
+
+
 def run_with_failures(seed, end=24.0):
     """Return a fleet after failures, with load far over the limits."""
     slots = random.Random(seed).choice((2, 6, 100_000))
@@ -205,6 +239,29 @@
     assert 10 <= started <= refilled
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_restart_of_all_refuses_for_a_short_time(seed):
+    """Guards against members that count late after a restart of all."""
+    fleet = start_fleet(seed, count=4)
+    fleet.plan_load("big", 25.0, WARM_UP_S, 20.0)
+    fleet.plan(10.0, lambda now: fleet.restart(0.5, 1.2))
+    fleet.run_until(21.0)
+    assert fleet.count_refusals("big") <= 40
+    assert fleet.count_refusals("big", since=12.5) == 0
+    assert_within_limits(fleet)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_changes_of_coordinators_refuse_few(seed):
+    """Guards against a zone without tokens while its coordinator changes."""
+    fleet = start_fleet(seed, count=4)
+    fleet.plan_load("big", 25.0, WARM_UP_S, 20.0)
+    plan_coordinator_changes(fleet, ["z1"], 10.0, 8)
+    fleet.run_until(21.0)
+    assert fleet.count_refusals("big") <= 5
+    assert_within_limits(fleet)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_member_counts_for_one_coordinator_at_a_time(seed):
     """Guards against two coordinators of a zone with the whole share."""
@@ -229,6 +286,71 @@
     assert seen
 
 
+@pytest.mark.parametrize("seed", range(60))
+def test_released_or_restarted_member_counts_once(seed):
+    """Guards against a release or a restart that counts a member twice.
+
+    The member tells since when it named no other coordinator; its
+    heartbeats and the answers to them are lost, late and in any order.
+    """
+    rng = random.Random(seed)
+    shares = {"a": quotas.ZoneShare(), "b": quotas.ZoneShare()}
+    member, incarnation, named = quotas.NamedCoordinators(), 1, "a"
+    plans = [(0.0, 0, "beat", None)]
+    order, counted, released = 0, set(), 0
+    while plans:
+        plans.sort()
+        now, _, kind, row = plans.pop(0)
+        order += 1
+        if kind == "beat":
+            if now >= 60.0:
+                continue
+            if rng.random() < 0.05:
+                member, incarnation = quotas.NamedCoordinators(), order + 1
+                plans.append((now + 0.5, order, "beat", None))
+                continue
+            named = rng.choice("ab") if rng.random() < 0.3 else named
+            named_time = member.measure_time(named, now)
+            for name in "ab":
+                if name == named:
+                    member.record_sent(name, now)
+                if rng.random() < 0.85:
+                    row = (name, named, named_time, incarnation, now)
+                    at = now + rng.random() * 0.2
+                    plans.append((at, order + rng.random(), "heartbeat", row))
+            plans.append((now + 0.5, order, "beat", None))
+        elif kind == "heartbeat":
+            name, other, named_time, sender, sent_at = row
+            shares[name].record_name(
+                "m", name == other, now, named_time, sender, sent_at
+            )
+            if rng.random() < 0.85 and sender == incarnation:
+                at = now + rng.random() * 0.2
+                plans.append((at, order + rng.random(), "answer", row))
+        elif row[3] == incarnation:
+            released += member.record_answer(row[0], row[4])
+        for moment in (now, now + 0.04):
+            if plans and moment > min(plans)[0]:
+                continue
+            counts = {n: s.count_members(moment) for n, s in shares.items()}
+            assert sum(counts.values()) <= 1, (moment, counts)
+            counted.update(name for name in counts if counts[name])
+    assert counted == {"a", "b"} and released
+
+
+def test_lost_heartbeat_does_not_start_the_qualification_again():
+    """Guards against a share that is lost for long with one heartbeat."""
+    share = quotas.ZoneShare()
+    share.record_name("m", True, 10.0, 5.0, 1, 7.0)
+    assert share.count_members(10.0) == 1
+    assert share.count_members(10.9) == 0
+    share.record_name("m", True, 11.0, 6.0, 1, 8.0)
+    assert share.count_members(11.0) == 1
+    share.record_name("m", False, 11.1, 0.1, 1, 8.2)
+    share.record_name("m", True, 11.2, 6.1, 1, 8.1)
+    assert share.count_members(11.2) == 0
+
+
 def make_lone_state(limits, entries=None):
     """Return a sole node that holds all tokens of its limits."""
     state = support.make_state("n1")
