Borrow tokens from the former coordinator of the zone

Cause: after a change, other nodes use the new coordinator of a zone while its members still name the former one, whose tokens nobody could reach. The new one also had too few urgent requests (2 a second) to ask for the tokens of many small workspaces, which waited and got 429.

Change: a coordinator also requests tokens from those that it named within the last second, and may send 30 urgent requests a second.

--- a/packages/coordination/acaciafield/gateway/quota_sharing.py
+++ b/packages/coordination/acaciafield/gateway/quota_sharing.py
@@ -17,7 +17,7 @@
 CHECK_PERIOD_S = 0.1  # of the buckets; at most one planned request in it
 # Requests for tokens, beyond the planned ones, for requests that wait.
 MIN_URGENT_PAUSE_S = 0.01
-URGENT_RATE = 2.0  # a second
+URGENT_RATE = 30.0  # a second; with 2, those of small workspaces waited
 # With round trips it must be less than grant_requests.FIRST_TIMEOUT_S, after
 # which the node asks another coordinator, which takes a second token.
 MAX_WAIT_S = 0.04
@@ -237,15 +237,24 @@
 
 
 def _list_others(state, now):
-    """Return the addresses of the coordinators to request tokens from."""
+    """Return the addresses of the coordinators to request tokens from.
+
+    Other nodes may already use this one while the members of its zone still
+    name another, which then has the tokens of the zone.
+    """
     if state.quotas.transfer_time < MIN_TRANSFER_TIME_S:
         return []
     local = state.local_member
-    return [
-        candidate.member.ip
+    candidates = [
+        candidate
         for candidate in state.membership.list_coordinators(now)
         if candidate.member.zone != local.zone
-        and candidate.member.name != local.name
+    ]
+    candidates += list_former_coordinators(state, local.name)
+    return [
+        candidate.member.ip
+        for candidate in candidates
+        if candidate.member.name != local.name
         and not candidate.is_unresponsive(now)
     ]
 
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -481,6 +481,49 @@
     assert count_tokens(state, 10.01) == after
 
 
+def test_new_coordinator_requests_tokens_for_many_workspaces():
+    """Guards against small workspaces that wait for few urgent requests."""
+    names = ["w%d" % number for number in range(30)]
+    limits = simulation.make_limits(**{name: (2, 2) for name in names})
+    state = support.make_state("n1")
+    state.start(0.0)
+    support.reduce(state, events.ConfigurationUpdated(0.0, 1, limits))
+    support.reduce(state, events.WorkersRead(0.0, [support.make_entry("w1")]))
+    state.membership.add_candidate(support.make_member("n2", zone="zb"))
+    asked = set()
+    for number, name in enumerate(names):
+        now = 0.03 + number * 0.03
+        ask_out = support.deliver_message(
+            state,
+            support.make_grant_request("r%d:1" % number, workspace=name),
+            now,
+        )
+        for effect in support.select_effects(ask_out, effects.Send):
+            if isinstance(effect.message, messages.QuotaRequest):
+                asked.update(row[0] for row in effect.message.rows)
+        support.reduce(state, events.Tick(now + 0.02))
+    assert len(asked) >= 25
+
+
+def test_new_coordinator_borrows_from_the_former_one():
+    """Guards against tokens that nobody can reach after a change."""
+    entries = [support.make_entry("w1", slots=500)]
+    state = make_lone_state(LIMITS, entries)
+    former = support.make_member("n2", zone=state.local_member.zone)
+    state.membership.add_candidate(former)
+    state.named_coordinators.record_sent("n2", 9.9)
+    for number in range(int(count_tokens(state, 10.0))):
+        ask(state, "a%d:1" % number, 10.0)
+    request = support.make_grant_request("r1:1", workspace="big")
+    out = support.deliver_message(state, request, 10.0)
+    asked = {
+        effect.ip
+        for effect in support.select_effects(out, effects.Send)
+        if isinstance(effect.message, messages.QuotaRequest)
+    }
+    assert asked == {former.ip}
+
+
 def test_workspace_whose_limit_is_removed_is_served_at_once():
     """Guards against a request that waits for a bucket that is gone."""
     entries = [support.make_entry("w1", slots=500)]
