--- a/packages/coordination/acaciafield/gateway/quota_sharing.py
+++ b/packages/coordination/acaciafield/gateway/quota_sharing.py
@@ -5,6 +5,8 @@
 describes the protocol.
 """
 
+import math
+
 from acaciafield.gateway import effects
 from acaciafield.gateway import handlers
 from acaciafield.gateway import messages
@@ -15,7 +17,7 @@
 CHECK_PERIOD_S = 0.1  # of the buckets; at most one planned request in it
 # Requests for tokens, beyond the planned ones, for requests that wait.
 MIN_URGENT_PAUSE_S = 0.01
-URGENT_RATE = 2.0  # a second
+URGENT_RATE = 30.0  # a second; with 2, those of small workspaces waited
 # With round trips it must be less than grant_requests.FIRST_TIMEOUT_S, after
 # which the node asks another coordinator, which takes a second token.
 MAX_WAIT_S = 0.04
@@ -56,16 +58,59 @@
     return coordinator.member.name if coordinator is not None else ""
 
 
+def list_former_coordinators(state, name):
+    """Return candidates that may count this member, which names another.
+
+    They get a heartbeat as well, so that they stop at once.
+    """
+    candidates = state.membership.candidates
+    return [
+        candidates[other]
+        for other in state.named_coordinators.list_unreleased(
+            name, state.boot_now
+        )
+        if other in candidates
+    ]
+
+
+def measure_named_time(state, name):
+    """Return the ``named_time`` of heartbeats that name a coordinator."""
+    time = state.named_coordinators.measure_time(name, state.boot_now)
+    return math.floor(time * 1000) / 1000 if name else None
+
+
 def record_heartbeat(heartbeat, state, now):
     """Record whether a member of this zone names this coordinator."""
-    if heartbeat.zone == state.local_member.zone and heartbeat.coordinator:
+    # A member without limits names nobody, which ends its lease as well.
+    is_relevant = heartbeat.coordinator or state.quotas.zone_share.has_lease(
+        heartbeat.name
+    )
+    if heartbeat.zone == state.local_member.zone and is_relevant:
         is_named = heartbeat.coordinator == state.local_member.name
         if heartbeat.leaving:
             is_named = False
-        state.quotas.zone_share.record_name(heartbeat.name, is_named, now)
+        state.quotas.zone_share.record_name(
+            heartbeat.name,
+            is_named,
+            now,
+            heartbeat.named_time,
+            heartbeat.incarnation,
+            heartbeat.sent_at,
+        )
+        if not is_named and state.is_coordinating:
+            # The member may count for another coordinator from now on.
+            state.quotas.update_share(_measure_share(state, now), now)
         _start_timer(state, now)
 
 
+def record_answer(answer, state, now):
+    """Name the new coordinator again once the former one has released it."""
+    if state.named_coordinators.record_answer(
+        answer.name, answer.heartbeat_sent_at
+    ):
+        state.timers.subscribe("beat", now, node_state.HeartbeatTimer())
+
+
 def admit(request, state, sender, now, out):
     """Return whether a grant request may go to its scheduler now.
 
@@ -192,15 +237,24 @@
 
 
 def _list_others(state, now):
-    """Return the addresses of the coordinators to request tokens from."""
+    """Return the addresses of the coordinators to request tokens from.
+
+    Other nodes may already use this one while the members of its zone still
+    name another, which then has the tokens of the zone.
+    """
     if state.quotas.transfer_time < MIN_TRANSFER_TIME_S:
         return []
     local = state.local_member
-    return [
-        candidate.member.ip
+    candidates = [
+        candidate
         for candidate in state.membership.list_coordinators(now)
         if candidate.member.zone != local.zone
-        and candidate.member.name != local.name
+    ]
+    candidates += list_former_coordinators(state, local.name)
+    return [
+        candidate.member.ip
+        for candidate in candidates
+        if candidate.member.name != local.name
         and not candidate.is_unresponsive(now)
     ]
 
