Give the restore test's hooks the methods for keys

The merge of the key checks made the configuration reader call checks_keys, which these hooks lacked, so that the reader failed and the test of a restored configuration found no version at all.

--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -47,6 +47,13 @@
     def update_configuration(self, raw):
         configuration = documents.decode_configuration(raw)
         self.versions.append(configuration.version)
+        return True
+
+    def checks_keys(self):
+        return False
+
+    def confirm_configuration(self, proven_at):
+        pass
 
 
 class RecordingLog:
