Do not confirm a configuration that cannot be read

A read whose newest record is no configuration counted as proof that the version in force is current, although the unreadable version may have removed a key. Reads now prove nothing until a readable version follows.

--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -222,10 +222,9 @@
         except store_reader.StoreError as error:
             self.log.write("dependency", part="store", lost=str(error))
             return
-        for _, value in changes.records:
-            if value is not None:
-                self.update_configuration(value)
-        self.confirm_configuration(sent_at)
+        values = [value for _, value in changes.records if value is not None]
+        if all([self.update_configuration(value) for value in values]):
+            self.confirm_configuration(sent_at)
 
     async def _read_members(self):
         try:
@@ -345,7 +344,8 @@
     def update_configuration(self, raw):
         """Apply a configuration, given as bytes in the store's format.
 
-        An older or unreadable one leaves the current one in force.
+        An older or unreadable one leaves the current one in force. Return
+        whether it was readable.
         """
         current = self.request_server.configuration
         configuration = self.store.decode_configuration(raw)
@@ -355,9 +355,9 @@
                 size=len(raw),
                 version=current.version if current else None,
             )
-            return
+            return False
         if current is not None and configuration.version <= current.version:
-            return
+            return True
         self.request_server.configuration = configuration
         self.caller_server.limits = configuration.limits
         self.state.is_ready = True
@@ -375,6 +375,7 @@
             configuration.version,
             configuration.limits_by_workspace,
         )
+        return True
 
     def _apply_event(self, event_class, *fields):
         event = event_class(self.clock(), *fields)
--- a/packages/daemon/acaciafield_daemon/gateway/store_reader.py
+++ b/packages/daemon/acaciafield_daemon/gateway/store_reader.py
@@ -434,7 +434,7 @@
     async def _follow_configuration(self):
         reader = StreamReader(self.store, Stream.CONFIGURATION)
         pause = RETRY_PAUSE_S
-        is_proof_recent = True
+        is_proof_recent = is_newest_readable = True
         while True:
             wait = self._choose_configuration_wait(is_proof_recent)
             sent_at, offset = self.boot_clock(), reader.offset
@@ -446,13 +446,15 @@
             pause = RETRY_PAUSE_S
             for _, value in read[0].records:
                 if value is not None:
-                    self.hooks.update_configuration(value)
+                    is_newest_readable = self.hooks.update_configuration(value)
             is_unchanged = not read[1] and reader.offset == offset
             proven_at = sent_at
             if is_unchanged and self.boot_clock() >= sent_at + wait:
                 # The store had no change for all the time that it waited.
                 proven_at = sent_at + wait
-            self.hooks.confirm_configuration(proven_at)
+            # A version that cannot be read may have removed a key.
+            if is_newest_readable:
+                self.hooks.confirm_configuration(proven_at)
             is_proof_recent = read[1] or proven_at == sent_at + wait
 
     def _choose_configuration_wait(self, is_proof_recent):
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -525,3 +525,22 @@
         assert age < 1.5
 
     run_steps(steps)
+
+
+def test_unreadable_version_stops_keyed_requests_until_it_is_replaced():
+    # Guards against a removed key that stays in use, because the version
+    # without it could not be read.
+    async def steps(harness):
+        harness.server.put("keyed.op", "config", b"junk")
+        await wait_for_status(harness, "key-small", 503)
+        (line,) = find_refusals(harness)
+        assert line["reason"] == "configuration-old"
+        response = await call(harness, path="/a/x", host="a.example")
+        assert response.status == 200
+        harness.server.put("keyed.op", "config", remove_small(8))
+        await wait_for_status(harness, "key-large", 200)
+        await wait_for_status(harness, "key-small", 401)
+
+    terms = workspace_support.make_strict_terms(revoke_bound=1.5)
+    document = workspace_support.make_document(skip_auth={"r1": True})
+    run_steps(steps, document, terms)
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -199,6 +199,9 @@
         return store_reader.StreamChanges([], 1)
 
 
+UNREADABLE = b"junk"
+
+
 class Hooks:
     """Hooks that record the lists of workers that the reader passes on."""
 
@@ -214,6 +217,9 @@
     def checks_keys(self):
         return self.is_keyed
 
+    def update_configuration(self, raw):
+        return raw != UNREADABLE
+
     def confirm_configuration(self, proven_at):
         self.proofs.append(proven_at)
 
@@ -422,3 +428,58 @@
 def test_reads_wait_as_before_where_no_keys_are_checked():
     _, waits = read_proofs([(2.01, 0), (1.0, 1), (2.01, 0)], is_keyed=False)
     assert waits == [store_reader.CONFIG_READ_WAIT_S] * 3
+
+
+class ConfigurationStore(CountingStore):
+    """A store that returns set records of the configuration.
+
+    ``reads`` has the values that each read returns, the first one of all
+    keys. The reads after them fail.
+    """
+
+    def __init__(self, reads):
+        super().__init__()
+        self.reads = list(reads)
+
+    async def read_changes(self, stream, offset, wait):
+        await asyncio.sleep(0.01)
+        return await self._answer(stream)
+
+    async def _answer(self, stream):
+        if stream is not store_reader.Stream.CONFIGURATION:
+            return store_reader.StreamChanges([], 1)
+        if not self.reads:
+            raise store_reader.StoreError("away")
+        records = [("config", value) for value in self.reads.pop(0)]
+        return store_reader.StreamChanges(records, 1)
+
+
+@pytest.mark.parametrize(
+    "reads, count",
+    [
+        ([[b"v1"], [UNREADABLE], [], []], 1),
+        ([[UNREADABLE], []], 0),
+        ([[b"v1"], [b"v2", UNREADABLE]], 1),
+        ([[b"v1"], [UNREADABLE], [], [b"v3"], []], 3),
+        ([[b"v1"], [UNREADABLE, b"v3"]], 2),
+    ],
+    ids=["then-unreadable", "only", "last", "repaired", "passed"],
+)
+def test_unreadable_newest_version_is_no_proof(reads, count):
+    # Guards against a key that is served for good, because the version
+    # that removed it could not be read.
+    store, hooks = ConfigurationStore(reads), Hooks()
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        reader = store_reader.StoreReader(
+            store, loop.time, RecordingLog(), hooks
+        )
+        reader.set_active(True)
+        while store.reads:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        reader.set_active(False)
+
+    asyncio.run(asyncio.wait_for(run(), 5.0))
+    assert len(hooks.proofs) == count
