--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,8 @@
 import pytest
 
 from acaciafield.gateway import backends
+from acaciafield.gateway import message_types
+from acaciafield.gateway import messages
 from acaciafield.gateway import routes
 from acaciafield_daemon.gateway import store_reader
 from acaciafield_platform import documents
@@ -135,6 +137,22 @@
     assert documents.decode_configuration(raw) is None
 
 
+@pytest.mark.parametrize(
+    "text, version",
+    [("8", 8), ("8.0", 8), ("8.5", None), ("1e20", None), ("1" * 30, None)],
+)
+def test_version_is_a_whole_number_as_messages_require(text, version):
+    # Guards against a version that makes nodes drop each other's heartbeats.
+    raw = b'{"version":%s,"routes":[]}' % text.encode()
+    found = documents.decode_configuration(raw)
+    if version is None:
+        assert found is None
+        return
+    notice = messages.ConfigNotice("n1", found.version)
+    assert message_types.find_mistyped(notice) is None
+    assert found.version == version
+
+
 def change_route(**fields):
     """Return the document with fields of its first route changed."""
     table = CONFIGURATION["routes"]
