Split batches of evidence by their size, and count dropped messages

Callers choose the ids of requests. Some long ids made a batch exceed a datagram, and it was dropped without a trace, with the evidence of all other requests in it.

--- a/packages/coordination/acaciafield/gateway/evidence_batches.py
+++ b/packages/coordination/acaciafield/gateway/evidence_batches.py
@@ -14,6 +14,9 @@
 
 BATCH_PERIOD_S = 0.02  # a tenth of the shortest usual service times
 MAX_BATCH_ROWS = 100  # about 20 KB before compression
+# Of the rows before compression. A datagram has at most 60,000, and callers
+# choose the ids of requests, which may be long and hardly compressible.
+MAX_BATCH_BYTES = 40_000
 MAX_LOGGED_LENGTH = 80  # of an unreadable row
 EVIDENCE_CLASSES = (messages.GrantNotice, messages.AttemptReport)
 
@@ -36,12 +39,28 @@
         """Remove and return pairs of an address and an EvidenceBatch."""
         taken, self.rows_by_ip = self.rows_by_ip, {}
         return [
-            (ip, messages.EvidenceBatch(rows[start : start + MAX_BATCH_ROWS]))
+            (ip, messages.EvidenceBatch(batch_rows))
             for ip, rows in taken.items()
-            for start in range(0, len(rows), MAX_BATCH_ROWS)
+            for batch_rows in _split_rows(rows)
         ]
 
 
+def _split_rows(rows):
+    """Yield the rows in lists that fit into one datagram each."""
+    batch_rows, batch_bytes = [], 0
+    for row in rows:
+        size = len(repr(row).encode(errors="replace"))
+        if batch_rows and (
+            len(batch_rows) >= MAX_BATCH_ROWS
+            or batch_bytes + size > MAX_BATCH_BYTES
+        ):
+            yield batch_rows
+            batch_rows, batch_bytes = [], 0
+        batch_rows.append(row)
+        batch_bytes += size
+    yield batch_rows
+
+
 def queue_message(state, service, message, now, exclude=""):
     """Pass a message to the other evidence holders with the next batch.
 
--- a/packages/daemon/acaciafield_daemon/gateway/pages.py
+++ b/packages/daemon/acaciafield_daemon/gateway/pages.py
@@ -74,6 +74,7 @@
             "store_age_seconds": node.state.get_store_age(now) or 0,
             "store_era": node.state.store_era or 0,
             "unreadable_messages": node.peers.unreadable,
+            "oversized_messages": node.peers.oversized,
             "log_lines_dropped": node.log.dropped,
             "held_body_bytes": node.request_server.body_reader.held_bytes,
             "held_answer_bytes": node.worker_client.held_bytes,
--- a/packages/daemon/acaciafield_daemon/gateway/peers.py
+++ b/packages/daemon/acaciafield_daemon/gateway/peers.py
@@ -29,7 +29,8 @@
 
     ``documents`` maps a path to a function that returns the document's
     bytes, or None; ``make_server`` makes the server from its handler;
-    ``unreadable`` counts malformed datagrams.
+    ``unreadable`` counts malformed datagrams, ``oversized`` the messages
+    that were dropped because they do not fit into one.
     """
 
     def __init__(self, ip, port, receive, documents, make_server=web.Server):
@@ -39,6 +40,7 @@
         self.documents = documents
         self.make_server = make_server
         self.unreadable = 0
+        self.oversized = 0
         self._transport = None
         self._session = None
         # The last compressed document and its result.
@@ -65,8 +67,10 @@
     def send(self, ip, message):
         """Send a message without confirmation; it may be lost."""
         data = encode_datagram(message)
-        if len(data) <= MAX_DATAGRAM_BYTES:
-            self._transport.sendto(data, (ip, self.port))
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self.oversized += 1
+            return
+        self._transport.sendto(data, (ip, self.port))
 
     def datagram_received(self, data, addr):
         """Decode a datagram and deliver its message."""
--- a/tests/test_gateway_evidence.py
+++ b/tests/test_gateway_evidence.py
@@ -1,5 +1,7 @@
 """Evidence of grants and reports reaches all holders, in batches."""
 
+import random
+
 import pytest
 
 from acaciafield.gateway import coordination
@@ -132,3 +134,33 @@
     assert [e.kind for e in logged].count("evidence-unreadable") == 3
     assert list(states["n1"].get_scheduler("orders").in_flight) == ["r1:1"]
     assert not support.select_effects(out, effects.FetchConfiguration)
+
+
+def test_batch_with_long_ids_of_requests_fits_into_datagrams():
+    # Guards against callers whose long ids make a batch exceed a datagram,
+    # so that the evidence of all other requests in it is lost.
+    states = make_fleet()
+    numbers = random.Random(1)
+    for number in range(60):
+        request_id = "%d-%x" % (number, numbers.getrandbits(12_000))
+        report = support.make_report(request_id + ":1", "w1", node="n9")
+        report.is_relayed = True
+        support.deliver_message(states["n1"], report, 10.0)
+    out = coordination.reduce_event(states["n1"], events.Tick(10.1))
+    sent = [
+        effect
+        for effect in support.select_effects(out, effects.Send)
+        if isinstance(effect.message, messages.EvidenceBatch)
+    ]
+    sizes = [len(peers.encode_datagram(effect.message)) for effect in sent]
+    assert max(sizes) <= peers.MAX_DATAGRAM_BYTES
+    rows = [row for e in sent if e.ip == sent[0].ip for row in e.message.rows]
+    assert len(rows) == 60
+
+
+def test_message_above_the_size_of_a_datagram_is_counted():
+    transport = peers.PeerTransport("127.0.0.1", 1, None, {})
+    numbers = random.Random(1)
+    long_id = "%x" % numbers.getrandbits(8 * peers.MAX_DATAGRAM_BYTES)
+    transport.send("127.0.0.2", messages.GrantQueued(long_id))
+    assert transport.oversized == 1
