--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -61,7 +61,7 @@
     ``ended_attempts`` lists the GrantRequest, Grant and
     upstream.AttemptResult of each attempt that ended; ``is_answered`` is
     set once one has the answer for the caller. ``hedges`` has the numbers of
-    the attempts that are hedges.
+    the attempts that are hedges, of which ``refused_hedges`` were refused.
     """
 
     __slots__ = (
@@ -84,6 +84,7 @@
         "ended_attempts",
         "is_answered",
         "hedges",
+        "refused_hedges",
     )
 
     def __init__(self, outgoing, route, started, time_left, fingerprint):
@@ -108,6 +109,7 @@
         self.ended_attempts = []
         self.is_answered = False
         self.hedges = set()
+        self.refused_hedges = 0
 
     def abort(self):
         """End the call without waiting for its attempts."""
--- a/packages/daemon/acaciafield_daemon/gateway/hedges.py
+++ b/packages/daemon/acaciafield_daemon/gateway/hedges.py
@@ -28,6 +28,17 @@
     call.hedges.add(call.attempt_count + 1)
 
 
+def record_refusal(call, metrics):
+    """Record that a hedge was refused, which uses up no attempt."""
+    call.refused_hedges += 1
+    count(metrics, call, Result.REFUSED)
+
+
+def is_last(call, number):
+    """Return whether a failure of the attempt ``number`` is final."""
+    return call.retry_state.is_last(number - call.refused_hedges)
+
+
 def record_answer(call, result, metrics):
     """Record that an attempt has the answer for the caller.
 
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -283,7 +283,7 @@
                 hedge=is_hedge,
             )
             if is_hedge:
-                hedges.count(self.metrics, call, hedges.Result.REFUSED)
+                hedges.record_refusal(call, self.metrics)
             return calls.NoGrant(reason, retry_after, is_hedge=is_hedge)
         if not self._may_send(call.caller_deadline):
             self.grant_requester.withdraw_request(grant_request)
@@ -321,7 +321,7 @@
             route.target,
             call.deadline - self.clock(),
             number - 1,
-            call.retry_state.is_last(number),
+            hedges.is_last(call, number),
             list(call.tried_workers),
             call.fingerprint,
             call.workspace.name if call.workspace else "",
--- a/tests/test_gateway_hedging.py
+++ b/tests/test_gateway_hedging.py
@@ -7,8 +7,11 @@
 
 from acaciafield.gateway import hedging
 from acaciafield.gateway import messages
+from acaciafield_daemon.gateway import calls
 from acaciafield_daemon.gateway import grant_requests
+from acaciafield_daemon.gateway import hedges
 from acaciafield_daemon.gateway import settings
+from acaciafield_daemon.gateway import upstream
 from bench import hedging as bench
 from tests import gateway_support as support
 from tests import test_gateway_node
@@ -397,6 +400,32 @@
     run_hedged(steps)
 
 
+def test_refused_hedge_does_not_make_a_later_retry_the_last():
+    # Guards against a retry that avoids risky workers like a final attempt,
+    # although the route has another one left.
+    async def refuse(requester, request, give_up_at):
+        reason = hedging.HedgeRefusal.NO_CAPACITY
+        return messages.GrantRefusal(request.attempt_id, reason, 0.1)
+
+    async def steps(harness):
+        outgoing = upstream.OutgoingRequest("GET", "/", {}, b"", "q1")
+        route = support.make_route(max_attempts=3)
+        call = calls.Call(outgoing, route, harness.node.clock(), 5.0, "f")
+        server = harness.node.request_server
+        call.attempt_count = 1
+        hedges.record_due(call)
+        call.attempt_count = 2
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(
+                grant_requests.GrantRequester, "request_grant", refuse
+            )
+            assert (await server._run_attempt(call, 2)).is_hedge
+        assert not server._make_grant_request(call, 3).is_last_attempt
+        assert server._make_grant_request(call, 4).is_last_attempt
+
+    run_hedged(steps)
+
+
 def test_disabled_hedges_are_not_sent():
     async def steps(harness):
         for worker in harness.workers:
