--- a/packages/daemon/acaciafield_daemon/gateway/grant_requests.py
+++ b/packages/daemon/acaciafield_daemon/gateway/grant_requests.py
@@ -108,6 +108,11 @@
                         self.withdraw_request(request)
                     return self._set_pause_retry_after(answer, request.service)
                 timeout = min(MAX_TIMEOUT_S, 2.0 * timeout)
+        except asyncio.CancelledError:
+            # A grant may have arrived that the caller never sees.
+            if pending.answer is not None:
+                self.withdraw_request(request)
+            raise
         finally:
             del self.pending_requests[request.attempt_id]
             if pending.answer is None:
--- a/tests/test_gateway_pauses.py
+++ b/tests/test_gateway_pauses.py
@@ -126,6 +126,35 @@
     assert answer.reason == "avoided"
 
 
+def test_grant_that_arrives_as_its_request_is_cancelled_is_withdrawn():
+    # Guards against a grant that takes a slot until its deadline, because
+    # the request was answered by another attempt meanwhile.
+    state = make_node()
+    sent = []
+
+    async def steps():
+        loop = asyncio.get_running_loop()
+        requester = grant_requests.GrantRequester(
+            state,
+            lambda name, message: sent.append(message),
+            loop.time,
+            decision_log.DecisionLog("n1", loop.time),
+        )
+        request = support.make_grant_request("r1:1")
+        task = asyncio.ensure_future(
+            requester.request_grant(request, loop.time() + 1.0)
+        )
+        await asyncio.sleep(0.01)
+        requester.deliver(messages.Grant("r1:1", "w1", "127.0.0.1:9001", 0.1))
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    asyncio.run(steps())
+    assert isinstance(sent[0], messages.GrantRequest)
+    assert isinstance(sent[-1], messages.GrantWithdrawal)
+
+
 def request_grant_alone(state, time_left=1.0):
     """Request a grant at a node without coordinators; w1, w2 are paused.
 
