End closed connections whose answer nobody takes

The library forgets the transport of a connection that it closes for a slow head or after the idle timeout, while the transport waits for the client to take the rest.

--- a/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
+++ b/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
@@ -102,8 +102,8 @@
         """Reset a connection, count it and log the cause once a second."""
         self.discharge(handler, server)
         drop_received(handler)
-        if handler.transport is not None:
-            handler.transport.abort()
+        if handler.connection is not None:
+            handler.connection.abort()
         self.report(server, cause)
 
     def report(self, server, cause):
@@ -156,11 +156,11 @@
 
     def _check_rates(self, handler, server):
         """Close a connection whose body or answer moves too slowly."""
-        if handler.transport is None:
+        if handler.connection is None:
             return
         now = self.clock()
         limits = self.options.limits
-        unsent_bytes = handler.transport.get_write_buffer_size()
+        unsent_bytes = handler.connection.get_write_buffer_size()
         if not unsent_bytes:
             handler.unread_since = None
         elif handler.unread_since is None or (
--- a/packages/daemon/acaciafield_daemon/gateway/listeners.py
+++ b/packages/daemon/acaciafield_daemon/gateway/listeners.py
@@ -40,7 +40,9 @@
     request came or ended. ``last_bytes`` is the size of what was received
     last, ``unsent_bytes`` that of the answer not yet taken, ``unread_since``
     the time since which the caller has taken none of it. ``charged_bytes``
-    are those in the ledger while ``is_counted``.
+    are those in the ledger while ``is_counted``. ``connection`` is the
+    transport, which the library's ``transport`` no longer is once it closes
+    while the answer still waits to be taken.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "unread_since",
         "charged_bytes",
         "is_counted",
+        "connection",
     )
 
     def __init__(self, manager, **options):
@@ -70,6 +73,7 @@
         self.unread_since = None
         self.charged_bytes = 0
         self.is_counted = False
+        self.connection = None
 
     def data_received(self, data):
         """Process received bytes and record whether a head is incomplete.
@@ -178,6 +182,7 @@
     def connection_made(self, handler, transport):
         """Admit a new connection."""
         super().connection_made(handler, transport)
+        handler.connection = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
             # The library receives all that a socket holds at once.
@@ -213,8 +218,8 @@
     def abort_connections(self):
         """Reset all connections, so that no answer looks complete."""
         for handler in list(self.connections):
-            if handler.transport is not None:
-                handler.transport.abort()
+            if handler.connection is not None:
+                handler.connection.abort()
 
     def close_slow_heads(self):
         """Close connections whose request head takes too long."""
@@ -224,6 +229,7 @@
         for handler in list(self.connections):
             started_at = handler.head_started_at
             if started_at is not None and started_at < started_before:
+                handler.head_started_at = None
                 self.slow_heads_closed += 1
                 self.guard.report(self, "slow-head")
                 handler.force_close()
--- /dev/null
+++ b/tests/test_connection_limits.py
@@ -0,0 +1,84 @@
+"""Tests of the bounds on connections, at a listener with one client."""
+
+import asyncio
+import contextlib
+import socket
+
+from aiohttp import web
+import uvloop
+
+from acaciafield.gateway import routes
+from acaciafield_daemon.gateway import connection_limits
+from acaciafield_daemon.gateway import decision_log
+from acaciafield_daemon.gateway import listeners
+from acaciafield_daemon.gateway import memory_ledger
+from acaciafield_daemon.gateway import metrics
+from acaciafield_daemon.gateway import settings
+from tests import test_gateway_node
+
+HOST_BYTES = 200_000_000
+SMALL_BUFFER_BYTES = 4096  # of a socket
+# More than both sockets hold, less than what suspends the request handler.
+HELD_ANSWER_BYTES = 60_000
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+READ_STALL_S = 0.8
+HEADER_TIMEOUT_S = 0.3
+
+
+@contextlib.asynccontextmanager
+async def open_listener(answer_bytes, send_buffer_bytes=None):
+    """Open a listener; yield it with a client's socket."""
+    loop = asyncio.get_running_loop()
+
+    async def answer(request):
+        if send_buffer_bytes is not None:
+            request.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
+            )
+        return web.Response(body=bytes(answer_bytes))
+
+    guard = connection_limits.ConnectionGuard(
+        test_gateway_node.make_options(
+            limits=settings.GatewaySettings(read_stall=READ_STALL_S)
+        ),
+        loop.time,
+        decision_log.DecisionLog("n1", loop.time),
+        metrics.Metrics(),
+        memory_ledger.MemoryLedger(HOST_BYTES),
+    )
+    server = listeners.CallerServer(answer, guard)
+    server.limits = routes.Limits(16_384, 1000, HEADER_TIMEOUT_S, 15.0)
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    sweep = asyncio.ensure_future(guard.sweep())
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    client.setblocking(False)
+    try:
+        await loop.sock_connect(client, listener.sockets[0].getsockname())
+        await loop.sock_sendall(client, REQUEST)
+        yield server, client
+    finally:
+        client.close()
+        sweep.cancel()
+        listener.close()
+        await server.shutdown()
+
+
+def test_connection_closed_with_an_unread_answer_ends():
+    # Guards against a connection that was closed for its slow head and stays
+    # open for as long as its client reads nothing, which no bound ends.
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with open_listener(HELD_ANSWER_BYTES, SMALL_BUFFER_BYTES) as (
+            server,
+            client,
+        ):
+            await asyncio.sleep(0.2)
+            await loop.sock_sendall(client, b"GET / HT")
+            await asyncio.sleep(HEADER_TIMEOUT_S + READ_STALL_S + 1.5)
+            assert server.slow_heads_closed == 1
+            assert server.connections == []
+            assert server.open_count == 0
+            assert server.guard.ledger.held_bytes == 0
+
+    uvloop.run(run())
