Count the bytes that the kernel sends as progress of an answer

On a slow link the kernel takes no more bytes for longer than read-stall, as it first frees a third of its buffer. A caller that read an answer steadily was disconnected.

--- a/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
+++ b/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import fcntl
+import struct
+import termios
 
 from aiohttp import streams
 
@@ -17,6 +20,7 @@
 # Measured: 900 connections that send nothing, and 900 requests of 115 fields.
 CONNECTION_BYTES = 6000
 FIELD_BYTES = 300
+COUNT = struct.Struct("i")  # that the kernel returns
 
 
 class ConnectionGuard:
@@ -161,11 +165,14 @@
         now = self.clock()
         limits = self.options.limits
         unsent_bytes = handler.connection.get_write_buffer_size()
+        untaken_bytes = 0
+        if unsent_bytes:
+            untaken_bytes = unsent_bytes + measure_unacknowledged(handler)
+        has_progress = untaken_bytes != handler.untaken_bytes
+        handler.untaken_bytes = untaken_bytes
         if not unsent_bytes:
             handler.unread_since = None
-        elif handler.unread_since is None or (
-            unsent_bytes != handler.unsent_bytes
-        ):
+        elif handler.unread_since is None or has_progress:
             handler.unread_since = now
         elif now - handler.unread_since > limits.read_stall:
             self.close(handler, server, "unread-answer")
@@ -198,6 +205,19 @@
     return held
 
 
+def measure_unacknowledged(handler):
+    """Return the bytes in the kernel that the client has not acknowledged.
+
+    The kernel takes more bytes only when a third of its buffer is free, which
+    a slow link needs longer for than a stalled client is given.
+    """
+    sock = handler.connection.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(COUNT.size))
+    return COUNT.unpack(data)[0]
+
+
 def drop_received(handler):
     """Free what a connection has received.
 
--- a/packages/daemon/acaciafield_daemon/gateway/listeners.py
+++ b/packages/daemon/acaciafield_daemon/gateway/listeners.py
@@ -38,8 +38,9 @@
     and ``newest_content`` the body of the last request that was read.
     ``changed_at`` is the time at which the connection was opened or its last
     request came or ended. ``last_bytes`` is the size of what was received
-    last, ``unsent_bytes`` that of the answer not yet taken, ``unread_since``
-    the time since which the caller has taken none of it. ``charged_bytes``
+    last, ``unsent_bytes`` that of the answer not yet taken, and
+    ``untaken_bytes`` with what the kernel holds of it, ``unread_since`` the
+    time since which the caller has taken none of it. ``charged_bytes``
     are those in the ledger while ``is_counted``. ``connection`` is the
     transport, which the library's ``transport`` no longer is once it closes
     while the answer still waits to be taken.
@@ -54,6 +55,7 @@
         "changed_at",
         "last_bytes",
         "unsent_bytes",
+        "untaken_bytes",
         "unread_since",
         "charged_bytes",
         "is_counted",
@@ -70,6 +72,7 @@
         self.changed_at = 0.0
         self.last_bytes = 0
         self.unsent_bytes = 0
+        self.untaken_bytes = 0
         self.unread_since = None
         self.charged_bytes = 0
         self.is_counted = False
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -20,6 +20,7 @@
 SMALL_BUFFER_BYTES = 4096  # of a socket
 # More than both sockets hold, less than what suspends the request handler.
 HELD_ANSWER_BYTES = 60_000
+LARGE_ANSWER_BYTES = 12_000_000
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 READ_STALL_S = 0.8
 HEADER_TIMEOUT_S = 0.3
@@ -82,3 +83,17 @@
             assert server.guard.ledger.held_bytes == 0
 
     uvloop.run(run())
+
+
+def test_answer_that_is_read_slowly_is_not_cut():
+    # Guards against a caller who counts as stalled while the kernel still
+    # sends what it has buffered, as the process then writes nothing.
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with open_listener(LARGE_ANSWER_BYTES) as (server, client):
+            for _ in range(40):
+                assert await loop.sock_recv(client, SMALL_BUFFER_BYTES)
+                await asyncio.sleep(0.05)
+            assert server.open_count == 1
+
+    uvloop.run(run())
