--- a/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
+++ b/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
@@ -184,8 +184,12 @@
         if content is None:
             return
         elapsed = now - handler.changed_at
+        grace = limits.body_rate_grace
+        if server.limits is not None:
+            # A caller may pause in a short body for the idle timeout.
+            grace = max(grace, server.limits.idle_timeout)
         if (
-            elapsed > limits.body_rate_grace
+            elapsed > grace
             and content.total_bytes < limits.min_body_rate * elapsed
         ):
             self.close(handler, server, "slow-body")
--- a/packages/daemon/acaciafield_daemon/gateway/settings.py
+++ b/packages/daemon/acaciafield_daemon/gateway/settings.py
@@ -128,7 +128,8 @@
         "seconds",
         0.0,
         3600.0,
-        "Time of a body before its least rate applies.",
+        "Time of a body before its least rate applies, at least the "
+        "platform's `idleTimeoutMs`.",
     ),
     Setting(
         "rates",
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -24,10 +24,13 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 READ_STALL_S = 0.8
 HEADER_TIMEOUT_S = 0.3
+IDLE_TIMEOUT_S = 15.0
 
 
 @contextlib.asynccontextmanager
-async def open_listener(answer_bytes, send_buffer_bytes=None):
+async def open_listener(
+    answer_bytes, send_buffer_bytes=None, request_bytes=REQUEST
+):
     """Open a listener; yield it with a client's socket."""
     loop = asyncio.get_running_loop()
 
@@ -36,6 +39,7 @@
             request.transport.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
             )
+        await request.read()
         return web.Response(body=bytes(answer_bytes))
 
     guard = connection_limits.ConnectionGuard(
@@ -48,7 +52,9 @@
         memory_ledger.MemoryLedger(HOST_BYTES),
     )
     server = listeners.CallerServer(answer, guard)
-    server.limits = routes.Limits(16_384, 1000, HEADER_TIMEOUT_S, 15.0)
+    server.limits = routes.Limits(
+        16_384, 1000, HEADER_TIMEOUT_S, IDLE_TIMEOUT_S
+    )
     listener = await loop.create_server(server, "127.0.0.1", 0)
     sweep = asyncio.ensure_future(guard.sweep())
     client = socket.socket()
@@ -56,7 +62,7 @@
     client.setblocking(False)
     try:
         await loop.sock_connect(client, listener.sockets[0].getsockname())
-        await loop.sock_sendall(client, REQUEST)
+        await loop.sock_sendall(client, request_bytes)
         yield server, client
     finally:
         client.close()
@@ -97,3 +103,40 @@
             assert server.open_count == 1
 
     uvloop.run(run())
+
+
+def test_pause_in_a_short_body_is_served_within_the_idle_timeout():
+    # Guards against the least rate of bodies, which a short body misses after
+    # any pause, taking the place of the idle timeout.
+    async def run():
+        loop = asyncio.get_running_loop()
+        head = REQUEST.replace(b"\r\n\r\n", b"\r\nContent-Length: 10\r\n\r\n")
+        async with open_listener(2, request_bytes=head + b"01234") as (
+            server,
+            client,
+        ):
+            await asyncio.sleep(0.1)
+            pause = 0.9 * IDLE_TIMEOUT_S
+            server.guard.clock = lambda: loop.time() + pause
+            await asyncio.sleep(2 * connection_limits.SWEEP_PERIOD_S)
+            await loop.sock_sendall(client, b"56789")
+            answer = await loop.sock_recv(client, SMALL_BUFFER_BYTES)
+            assert answer.startswith(b"HTTP/1.1 200 ")
+
+    asyncio.run(run())
+
+
+def test_body_slower_than_the_least_rate_is_closed():
+    async def run():
+        loop = asyncio.get_running_loop()
+        head = REQUEST.replace(b"\r\n\r\n", b"\r\nContent-Length: 10\r\n\r\n")
+        async with open_listener(2, request_bytes=head + b"01234") as (
+            server,
+            _,
+        ):
+            await asyncio.sleep(0.1)
+            server.guard.clock = lambda: loop.time() + IDLE_TIMEOUT_S + 1.0
+            await asyncio.sleep(2 * connection_limits.SWEEP_PERIOD_S)
+            assert server.connections == []
+
+    asyncio.run(run())
