--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -151,10 +151,12 @@
     1.5
     >>> parse_timeout(None)
     30.0
+    >>> parse_timeout("9" * 400)
+    30.0
     """
     try:
         return max(0.0, int(text) / 1000.0)
-    except (TypeError, ValueError):
+    except (TypeError, ValueError, OverflowError):
         return DEFAULT_TIMEOUT_S
 
 
