--- a/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
+++ b/packages/daemon/acaciafield_daemon/gateway/connection_limits.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import fcntl
+import struct
+import termios
 
 from aiohttp import streams
 
@@ -17,6 +20,7 @@
 # Measured: 900 connections that send nothing, and 900 requests of 115 fields.
 CONNECTION_BYTES = 6000
 FIELD_BYTES = 300
+COUNT = struct.Struct("i")  # that the kernel returns
 
 
 class ConnectionGuard:
@@ -102,8 +106,8 @@
         """Reset a connection, count it and log the cause once a second."""
         self.discharge(handler, server)
         drop_received(handler)
-        if handler.transport is not None:
-            handler.transport.abort()
+        if handler.connection is not None:
+            handler.connection.abort()
         self.report(server, cause)
 
     def report(self, server, cause):
@@ -156,16 +160,19 @@
 
     def _check_rates(self, handler, server):
         """Close a connection whose body or answer moves too slowly."""
-        if handler.transport is None:
+        if handler.connection is None:
             return
         now = self.clock()
         limits = self.options.limits
-        unsent_bytes = handler.transport.get_write_buffer_size()
+        unsent_bytes = handler.connection.get_write_buffer_size()
+        untaken_bytes = 0
+        if unsent_bytes:
+            untaken_bytes = unsent_bytes + measure_unacknowledged(handler)
+        has_progress = untaken_bytes != handler.untaken_bytes
+        handler.untaken_bytes = untaken_bytes
         if not unsent_bytes:
             handler.unread_since = None
-        elif handler.unread_since is None or (
-            unsent_bytes != handler.unsent_bytes
-        ):
+        elif handler.unread_since is None or has_progress:
             handler.unread_since = now
         elif now - handler.unread_since > limits.read_stall:
             self.close(handler, server, "unread-answer")
@@ -177,8 +184,12 @@
         if content is None:
             return
         elapsed = now - handler.changed_at
+        grace = limits.body_rate_grace
+        if server.limits is not None:
+            # A caller may pause in a short body for the idle timeout.
+            grace = max(grace, server.limits.idle_timeout)
         if (
-            elapsed > limits.body_rate_grace
+            elapsed > grace
             and content.total_bytes < limits.min_body_rate * elapsed
         ):
             self.close(handler, server, "slow-body")
@@ -198,6 +209,19 @@
     return held
 
 
+def measure_unacknowledged(handler):
+    """Return the bytes in the kernel that the client has not acknowledged.
+
+    The kernel takes more bytes only when a third of its buffer is free, which
+    a slow link needs longer for than a stalled client is given.
+    """
+    sock = handler.connection.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(COUNT.size))
+    return COUNT.unpack(data)[0]
+
+
 def drop_received(handler):
     """Free what a connection has received.
 
