Check the leases of members at all times

The test of released and restarted members looked at the counts only when a heartbeat arrived, and let a member end 0.5 s after its last heartbeat, so that a qualification of 0.8 s and 0.9 s of downtime that counts passed it. It now checks every 0.02 s, and members end right after a heartbeat.

--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -305,10 +305,6 @@
         if kind == "beat":
             if now >= 60.0:
                 continue
-            if rng.random() < 0.05:
-                member, incarnation = quotas.NamedCoordinators(), order + 1
-                plans.append((now + 0.5, order, "beat", None))
-                continue
             named = rng.choice("ab") if rng.random() < 0.3 else named
             named_time = member.measure_time(named, now)
             for name in "ab":
@@ -318,6 +314,8 @@
                     row = (name, named, named_time, incarnation, now)
                     at = now + rng.random() * 0.2
                     plans.append((at, order + rng.random(), "heartbeat", row))
+            if rng.random() < 0.05:  # it ends now and starts after 0.5 s
+                member, incarnation = quotas.NamedCoordinators(), order + 1
             plans.append((now + 0.5, order, "beat", None))
         elif kind == "heartbeat":
             name, other, named_time, sender, sent_at = row
@@ -329,9 +327,9 @@
                 plans.append((at, order + rng.random(), "answer", row))
         elif row[3] == incarnation:
             released += member.record_answer(row[0], row[4])
-        for moment in (now, now + 0.04):
-            if plans and moment > min(plans)[0]:
-                continue
+        until = min(plan[0] for plan in plans) if plans else now
+        moments = [now + 0.02 * n for n in range(30)]
+        for moment in [at for at in moments if at <= until]:
             counts = {n: s.count_members(moment) for n, s in shares.items()}
             assert sum(counts.values()) <= 1, (moment, counts)
             counted.update(name for name in counts if counts[name])
