Count the fetches of each document apart

A new coordinator without a list of workers fetches it at each request. While the node that it asked was just lost, these fetches, each of 1 s, and writes to the store kept it from fetching a new configuration.

--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -1,6 +1,7 @@
 """One gateway node: its start, its work on an event loop and its stop."""
 
 import asyncio
+import collections
 import contextlib
 import functools
 import signal
@@ -37,7 +38,7 @@
 STOP_PAUSE_S = 0.05
 LAST_ANSWER_TIME_S = 0.15  # for the answers of requests that the exit ends
 MAX_LOGGED_FINDINGS = 20  # of one configuration
-MAX_FETCHES = 3  # concurrent fetches of documents from other nodes
+MAX_FETCHES = 3  # concurrent fetches of one document from other nodes
 
 
 class GatewayNode:
@@ -114,7 +115,7 @@
         self.caller_server = listeners.CallerServer(
             self.request_server.handle_request, self.guard
         )
-        self._running_calls = 0
+        self._running_calls = collections.Counter()
         self._tick_timer = loop_timers.LoopTimer(loop, self._tick)
 
     async def run(self):
@@ -406,21 +407,21 @@
     def _tick(self):
         self._apply_event(events.Tick)
 
-    def start_fetch(self, coroutine):
-        """Run a fetch in the background, unless too many calls are running."""
-        if self._running_calls >= MAX_FETCHES:
+    def start_fetch(self, name, coroutine):
+        """Run a fetch of a document, unless too many of it are running."""
+        if self._running_calls[name] >= MAX_FETCHES:
             coroutine.close()
             return
-        self.start_call(coroutine)
+        self.start_call(coroutine, name)
 
-    def start_call(self, coroutine):
+    def start_call(self, coroutine, name=""):
         """Run a call in the background and log its failure."""
-        self._running_calls += 1
+        self._running_calls[name] += 1
         task = asyncio.ensure_future(coroutine)
-        task.add_done_callback(self._end_call)
+        task.add_done_callback(functools.partial(self._end_call, name))
 
-    def _end_call(self, task):
-        self._running_calls -= 1
+    def _end_call(self, name, task):
+        self._running_calls[name] -= 1
         if not task.cancelled() and task.exception() is not None:
             cause = repr(task.exception())
             self.log.write("fetch-failed", cause=cause)
@@ -549,9 +550,9 @@
 @apply_effect.register
 def _fetch_configuration(effect: effects.FetchConfiguration, node):
     fetch = node.fetch_configuration(effect.ip, effect.version)
-    node.start_fetch(fetch)
+    node.start_fetch("configuration", fetch)
 
 
 @apply_effect.register
 def _fetch_workers(effect: effects.FetchWorkers, node):
-    node.start_fetch(node.fetch_workers(effect.ip))
+    node.start_fetch("workers", node.fetch_workers(effect.ip))
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -14,6 +14,7 @@
 import expression
 import uvloop
 
+from acaciafield.gateway import effects
 from acaciafield.gateway import planned_stop
 from acaciafield_daemon.gateway import node as gateway_node
 from acaciafield_daemon.gateway import options as gateway_options
@@ -471,3 +472,34 @@
         "assert aiohttp.connector.ssl is None and ssl.SSLContext"
     )
     subprocess.run([sys.executable, "-c", code], check=True)
+
+
+def test_configuration_is_fetched_while_other_calls_hang():
+    # Guards against a configuration that arrives seconds late at a new
+    # coordinator, as fetches of workers from a node that was just lost and
+    # writes to the store took all places.
+    async def steps(harness):
+        node = harness.node
+        version = node.request_server.configuration.version + 1
+        fetched = []
+
+        async def fetch(ip, name):
+            fetched.append(name)
+            await asyncio.sleep(30.0)
+
+        async def write(member):
+            await asyncio.sleep(30.0)
+
+        node.peers.fetch = fetch
+        node.store.write_member = write
+        for _ in range(10):
+            fetch_workers = effects.FetchWorkers("127.0.0.9")
+            gateway_node.apply_effect(fetch_workers, node)
+            gateway_node.apply_effect(effects.WriteMember(), node)
+        notice = effects.FetchConfiguration("127.0.0.8", version)
+        gateway_node.apply_effect(notice, node)
+        await asyncio.sleep(0.05)
+        assert fetched.count("configuration") == 1
+        assert fetched.count("workers") == gateway_node.MAX_FETCHES
+
+    run_steps(steps)
