Refuse requests whose id is no text, and log any text

An id that is not valid UTF-8 raised an error in the log, which was not written any more, and in datagrams to other nodes, with a batch of the evidence of other requests. Such a request now gets 400.

--- a/packages/daemon/acaciafield_daemon/gateway/decision_log.py
+++ b/packages/daemon/acaciafield_daemon/gateway/decision_log.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import json
 import os
 
 import eliot
@@ -96,7 +97,7 @@
         """Write as much as the output accepts without blocking."""
         while self._queue or self._unwritten:
             while self._queue and len(self._unwritten) < WRITE_SIZE_BYTES:
-                line = orjson.dumps(self._queue.popleft(), default=str)
+                line = _encode_line(self._queue.popleft())
                 self._unwritten += line + b"\n"
             try:
                 written_bytes = os.write(self.descriptor, self._unwritten)
@@ -108,3 +109,14 @@
                 self._queue.clear()
                 return
             self._unwritten = self._unwritten[written_bytes:]
+
+
+def _encode_line(message):
+    """Return a line as JSON, also if it has text that is no valid UTF-8.
+
+    Such text comes from headers of callers.
+    """
+    try:
+        return orjson.dumps(message, default=str)
+    except TypeError:
+        return json.dumps(message, default=str).encode()
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -106,6 +106,9 @@
     async def _handle_request(self, request, started):
         header_names = self.options.headers
         request_id = request.headers.get(header_names.request_id, "")
+        if not responses.is_text(request_id):
+            self.log.write("refused", request=ascii(request_id), reason="id")
+            return responses.make_error_response(400, "", header_names)
         configuration = self.configuration
         if configuration is None:
             return self._refuse_request(
--- a/packages/daemon/acaciafield_daemon/gateway/responses.py
+++ b/packages/daemon/acaciafield_daemon/gateway/responses.py
@@ -39,6 +39,15 @@
     return web.Response(status=status, headers=headers, text="")
 
 
+def is_text(value):
+    """Return whether the value of a header was valid UTF-8.
+
+    >>> is_text("q1"), is_text(b"q\\xff".decode(errors="surrogateescape"))
+    (True, False)
+    """
+    return not any("\ud800" <= character <= "\udfff" for character in value)
+
+
 def copy_end_to_end_headers(headers):
     """Return the headers without those that apply to one connection only."""
     connection_options = headers.get("Connection", "").lower()
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import os
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 
 import aiohttp
 from aiohttp import web
@@ -16,6 +18,7 @@
 
 from acaciafield.gateway import effects
 from acaciafield.gateway import planned_stop
+from acaciafield_daemon.gateway import decision_log
 from acaciafield_daemon.gateway import node as gateway_node
 from acaciafield_daemon.gateway import options as gateway_options
 from acaciafield_platform import settings
@@ -503,3 +506,40 @@
         assert fetched.count("workers") == gateway_node.MAX_FETCHES
 
     run_steps(steps)
+
+
+def test_request_id_that_is_no_text_disturbs_no_other_request():
+    # Guards against ids that no datagram and no log line can hold: they
+    # stopped the log and the batch with the evidence of other requests, and
+    # workers that cannot return such an id counted as failing.
+    async def steps(harness):
+        for host in (b"b.example", b"none"):
+            head = await send_odd_id(harness, host)
+            assert head.startswith(b"HTTP/1.1 400")
+        assert harness.seen == []
+        with tempfile.TemporaryFile() as output:
+            harness.node.log.descriptor = output.fileno()
+            harness.node.log.write("caller-left", request="q\udcff")
+            harness.node.log.write("last", request="q")
+            await asyncio.sleep(2 * decision_log.FLUSH_PERIOD_S)
+            output.seek(0)
+            lines = [json.loads(line) for line in output]
+            harness.node.log.descriptor = os.open(os.devnull, os.O_WRONLY)
+        kinds = [line["message_type"] for line in lines]
+        assert kinds[-2:] == ["gateway:caller-left", "gateway:last"]
+
+    run_steps(steps)
+
+
+async def send_odd_id(harness, host):
+    """Send a request whose id is no UTF-8 text; return the answer's head."""
+    port = harness.node.options.caller_port
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(
+        b"GET /b/x HTTP/1.1\r\nHost: %s\r\n"
+        b"Acaciafield-Request-Id: q\xff\r\n"
+        b"Acaciafield-Deadline-Ms: 2000\r\n\r\n" % host
+    )
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return head
