Do not send the notice of a grant after its withdrawal

A withdrawal reaches all holders of evidence at once, the notice of the grant with a batch up to 20 ms later. The holders then counted the request as in flight until its deadline.

--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -374,6 +374,8 @@
     message: messages.GrantWithdrawal, state, sender, now, out
 ):
     quota_sharing.return_token(message.attempt_id, state, now)
+    # The other holders may have the withdrawal already.
+    state.evidence_batches.remove_notice(message.attempt_id)
     scheduler = state.schedulers.get(message.service)
     if scheduler is not None:
         scheduler.withdraw(message.attempt_id)
--- a/packages/coordination/acaciafield/gateway/evidence_batches.py
+++ b/packages/coordination/acaciafield/gateway/evidence_batches.py
@@ -35,6 +35,15 @@
     def __init__(self):
         self.rows_by_ip = {}
 
+    def remove_notice(self, attempt_id):
+        """Remove the waiting GrantNotice of an attempt, if there is one."""
+        for ip, rows in list(self.rows_by_ip.items()):
+            remaining = [r for r in rows if not _is_notice(r, attempt_id)]
+            if remaining:
+                self.rows_by_ip[ip] = remaining
+            else:
+                del self.rows_by_ip[ip]
+
     def take(self):
         """Remove and return pairs of an address and an EvidenceBatch."""
         taken, self.rows_by_ip = self.rows_by_ip, {}
@@ -45,6 +54,15 @@
         ]
 
 
+def _is_notice(row, attempt_id):
+    """Return whether a packed row is the GrantNotice of an attempt."""
+    if row[0] != messages.GrantNotice.KIND:
+        return False
+    return row[1 + messages.GrantNotice.__slots__.index("attempt_id")] == (
+        attempt_id
+    )
+
+
 def _split_rows(rows):
     """Yield the rows in lists that fit into one datagram each."""
     batch_rows, batch_bytes = [], 0
--- a/tests/test_gateway_evidence.py
+++ b/tests/test_gateway_evidence.py
@@ -164,3 +164,30 @@
     long_id = "%x" % numbers.getrandbits(8 * peers.MAX_DATAGRAM_BYTES)
     transport.send("127.0.0.2", messages.GrantQueued(long_id))
     assert transport.oversized == 1
+
+
+def test_notice_of_a_withdrawn_grant_is_not_sent_after_the_withdrawal():
+    # Guards against a request that the other holders count as in flight
+    # until its deadline: its withdrawal arrived before the batch.
+    states = make_fleet()
+    for attempt_id in ("r1:1", "r2:1"):
+        request = support.make_grant_request(attempt_id, node="n9")
+        support.deliver_message(states["n1"], request, 10.0)
+    withdrawal = messages.GrantWithdrawal("orders", "r1:1")
+    for name in NAMES:
+        support.deliver_message(states[name], withdrawal, 10.005)
+    exchange_batches(states, 10.03)
+    for name in NAMES:
+        assert list(states[name].get_scheduler("orders").in_flight) == ["r2:1"]
+
+
+def test_batch_without_rows_is_not_sent():
+    states = make_fleet()
+    request = support.make_grant_request("r1:1", node="n9")
+    support.deliver_message(states["n1"], request, 10.0)
+    withdrawal = messages.GrantWithdrawal("orders", "r1:1")
+    support.deliver_message(states["n1"], withdrawal, 10.005)
+    assert exchange_batches(states, 10.03) == 0
+    request = support.make_grant_request("r2:1", node="n9")
+    support.deliver_message(states["n1"], request, 10.1)
+    assert exchange_batches(states, 10.13) == 2
