Take no request for a returning caller's before Retry-After

Requests of a route that all have the same fingerprint were taken for one refused caller who returns. None counted as asked, so that the route never counted as starved and got nothing beside an urgent one.

--- a/packages/coordination/acaciafield/gateway/admission.py
+++ b/packages/coordination/acaciafield/gateway/admission.py
@@ -30,8 +30,7 @@
 # margin; workspaces have a larger one, as each has few requests to count.
 MIN_ROUTE_RATIO = 0.4
 MIN_WORKSPACE_RATIO = 0.8
-# Time for which a refused caller is remembered; Retry-After is at most 3 s.
-RETURN_TIME_S = 4.0
+RETURN_TIME_S = 1.0  # after Retry-After, for which a caller is remembered
 MAX_REFUSED = 4000  # refused callers that are remembered
 
 
@@ -119,7 +118,7 @@
         "asked_total",
         "granted_total",
         "usage",
-        "refused_at",
+        "returns_at",
     )
 
     def __init__(self):
@@ -132,8 +131,9 @@
         self.granted_total = DecayingCounts(SHARES_TIME_S)
         # Grants by workspace, of all coordinators.
         self.usage = DecayingCounts(SHARES_TIME_S)
-        # Time of the last refusal by fingerprint.
-        self.refused_at = {}
+        # Time until which the last refused caller was told to wait, by
+        # fingerprint.
+        self.returns_at = {}
 
     def __len__(self):
         return len(self.entries)
@@ -184,16 +184,24 @@
         """Count the grant of another coordinator."""
         self.usage.add(notice.workspace, now)
 
-    def record_refusal(self, request, now):
+    def record_refusal(self, request, retry_after, now):
         """Remember a refused caller, who may return after Retry-After."""
-        self.refused_at.pop(request.fingerprint, None)
-        self.refused_at[request.fingerprint] = now
-        if len(self.refused_at) > MAX_REFUSED:
-            del self.refused_at[next(iter(self.refused_at))]
+        self.returns_at.pop(request.fingerprint, None)
+        self.returns_at[request.fingerprint] = now + retry_after
+        if len(self.returns_at) > MAX_REFUSED:
+            del self.returns_at[next(iter(self.returns_at))]
 
     def _is_return(self, request, now):
-        refused_at = self.refused_at.get(request.fingerprint)
-        return refused_at is not None and now - refused_at < RETURN_TIME_S
+        """Return whether a request may be that of a refused caller.
+
+        One that comes before Retry-After is of another caller who sends the
+        same request. Were it not counted, a route with many such callers
+        would never count as starved.
+        """
+        returns_at = self.returns_at.get(request.fingerprint)
+        if returns_at is None:
+            return False
+        return returns_at <= now < returns_at + RETURN_TIME_S
 
     def find_level(self, request):
         """Return the sort key of the request's priority; lower goes first."""
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -318,10 +318,9 @@
 
     def _refuse(self, request, reason, retry_after, now):
         self.recent_results.add(ResultClass.FAILURE, now)
-        self.queue.record_refusal(request, now)
-        return messages.GrantRefusal(
-            request.attempt_id, reason, round(retry_after, 2)
-        )
+        retry_after = round(retry_after, 2)
+        self.queue.record_refusal(request, retry_after, now)
+        return messages.GrantRefusal(request.attempt_id, reason, retry_after)
 
     def _has_runnable_ahead(self, request, now):
         """Return whether a request as urgent is queued that could run now."""
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -95,16 +95,45 @@
     request = support.make_grant_request("a:1", fingerprint="f")
     for now in (0.0, 1.0, 2.0):
         queue.record_arrival(request, now)
-        queue.record_refusal(request, now)
+        queue.record_refusal(request, 0.9, now)
     assert round(queue.asked.measure("r", 0.0), 3) == 1.0
 
 
+def test_route_of_equal_requests_is_not_starved():
+    """Guards against callers who send the same as one refused just before.
+
+    If each is taken for that one who returns, none counts, and their route
+    never goes before a more urgent one that takes all capacity.
+    """
+    scheduler = support.make_scheduler(1, slots=1)
+    served = 0
+    for number in range(400):
+        now = 0.05 * number
+        for attempt_id in list(scheduler.in_flight):
+            report = support.make_report(attempt_id, "w1", latency=0.05)
+            scheduler.apply_report(report, now)
+        answers = scheduler.dispatch(now)
+        for name, fields in (
+            ("a%d:1" % number, {"route": "urgent", "priority": 0}),
+            ("b%d:1" % number, {"route": "slow", "fingerprint": "f"}),
+        ):
+            request = support.make_grant_request(name, **fields)
+            answers.append((None, request, scheduler.decide(request, "", now)))
+        served += sum(
+            request.route == "slow" and isinstance(answer, messages.Grant)
+            for _, request, answer in answers
+        )
+    asked = 400
+    overall = 0.5  # one of two requests at a time finds the slot
+    assert served >= 0.25 * overall * asked
+
+
 def test_refused_callers_that_are_remembered_are_bounded():
     queue = admission.AdmissionQueue()
     for number in range(admission.MAX_REFUSED + 100):
         request = support.make_grant_request("a%d:1" % number)
-        queue.record_refusal(request, 0.0)
-    assert len(queue.refused_at) == admission.MAX_REFUSED
+        queue.record_refusal(request, 0.5, 0.0)
+    assert len(queue.returns_at) == admission.MAX_REFUSED
 
 
 def test_counts_decay_and_survive_a_long_time():
