--- a/packages/coordination/acaciafield/gateway/onsets.py
+++ b/packages/coordination/acaciafield/gateway/onsets.py
@@ -15,6 +15,9 @@
 # Requests that may be retried, per second and worker, from which they test
 # all workers often enough: once in the 2 s after which the floor requires it.
 MIN_SCOUT_RATE = 0.5
+# Time constant in which a lack of them is noticed. With 20 s, the share of
+# workers in use fell to 0.3 when they ceased.
+RECENT_TIME_S = 1.0
 
 
 class OnsetRate:
@@ -28,6 +31,8 @@
         "scout_routes",
         "_onsets",
         "_scouts",
+        "_recent_scouts",
+        "_worker_count",
         "_exposure",
         "_updated_at",
     )
@@ -36,6 +41,8 @@
         self.scout_routes = set()
         self._onsets = 0.0
         self._scouts = 0.0
+        self._recent_scouts = 0.0
+        self._worker_count = 0
         self._exposure = PRIOR_EXPOSURE_S
         self._updated_at = None
 
@@ -47,6 +54,8 @@
         if elapsed <= 0.0:
             return
         self._updated_at = now
+        self._worker_count = worker_count
+        self._recent_scouts *= math.exp(-elapsed / RECENT_TIME_S)
         factor = math.exp(-elapsed / TIME_CONSTANT_S)
         self._onsets *= factor
         self._scouts *= factor
@@ -60,6 +69,7 @@
         """Count the first attempt of a request of a route."""
         if route in self.scout_routes:
             self._scouts += 1.0
+            self._recent_scouts += 1.0
 
     def measure_rate(self):
         """Return the onsets per second of one worker.
@@ -70,4 +80,7 @@
         exposure = max(self._exposure, PRIOR_EXPOSURE_S)
         if self._scouts < MIN_SCOUT_RATE * exposure:
             return 0.0
+        recent_rate = self._recent_scouts / RECENT_TIME_S
+        if recent_rate < MIN_SCOUT_RATE * self._worker_count:
+            return 0.0
         return self._onsets / exposure
--- a/tests/test_gateway_onsets.py
+++ b/tests/test_gateway_onsets.py
@@ -1,5 +1,9 @@
 """Onsets of failures: who tests workers, and who goes to proven ones."""
 
+import heapq
+import random
+
+from acaciafield.gateway import messages
 from acaciafield.gateway import onsets
 from tests import gateway_support as support
 
@@ -64,3 +68,48 @@
         at = 5.0 + 0.01 * number
         worker.record_grant(at, at)
     assert worker.find_proven_at(5.2) >= 5.1
+
+
+def play_orders(scheduler, rate, start, end):
+    """Play requests that run once; return the lowest used share.
+
+    ``rate`` is in requests per second; each takes 0.2 s.
+    """
+    chance = random.Random(1)
+    running, lowest = [], 1.0
+    for step in range(int(200 * start), int(200 * end)):
+        now = step / 200
+        while running and running[0][0] <= now:
+            _, attempt_id, worker_id = heapq.heappop(running)
+            report = support.make_report(attempt_id, worker_id, latency=0.2)
+            scheduler.apply_report(report, now)
+        if chance.random() < rate / 200:
+            request = support.make_grant_request(
+                "q%d:1" % step, route="order", idempotent=False
+            )
+            answer = scheduler.decide(request, "", now)
+            assert isinstance(answer, messages.Grant)
+            heapq.heappush(
+                running, (now + 0.2, answer.attempt_id, answer.worker_id)
+            )
+        usage = scheduler.measure_usage(now)
+        if usage is not None:
+            lowest = min(lowest, usage.share)
+    return lowest
+
+
+def test_floor_holds_when_scouts_cease():
+    """Guards against idle workers until the count of scouts has decayed."""
+    scheduler = support.make_scheduler(30, slots=2)
+    scheduler.onset_rate.scout_routes.add("r")
+    scheduler.onset_rate.advance(30, 0.0)
+    scheduler.onset_rate.advance(30, 10.0)
+    for _ in range(1200):
+        scheduler.onset_rate.add_first_attempt("r")
+    for _ in range(20):
+        scheduler.onset_rate.add_onset()
+    for number, worker in enumerate(scheduler.workers.values()):
+        worker.record_grant(9.0 + number / 30, 9.0 + number / 30)
+        worker.record_success(9.0 + number / 30, 9.5 + number / 60)
+    assert scheduler.onset_rate.measure_rate() > 0.0
+    assert play_orders(scheduler, 20, 10.0, 25.0) >= 0.7
