--- a/packages/daemon/acaciafield_daemon/gateway/node.py
+++ b/packages/daemon/acaciafield_daemon/gateway/node.py
@@ -12,7 +12,6 @@
 
 from acaciafield.gateway import backends
 from acaciafield.gateway import coordination
-from acaciafield.gateway import effects
 from acaciafield.gateway import events
 from acaciafield.gateway import members
 from acaciafield.gateway import node_state
@@ -24,6 +23,7 @@
 from acaciafield_daemon.gateway import listeners
 from acaciafield_daemon.gateway import memory_ledger
 from acaciafield_daemon.gateway import metrics
+from acaciafield_daemon.gateway import node_effects
 from acaciafield_daemon.gateway import pages
 from acaciafield_daemon.gateway import peers
 from acaciafield_daemon.gateway import request_server
@@ -398,7 +398,7 @@
 
     def _run_effects(self, requested_effects):
         for effect in requested_effects:
-            apply_effect(effect, self)
+            node_effects.apply_effect(effect, self)
         self._arm_timer()
 
     def _arm_timer(self):
@@ -509,50 +509,3 @@
                 if handler.is_idle():
                     handler.force_close()
             await asyncio.sleep(STOP_PAUSE_S)
-
-
-@functools.singledispatch
-def apply_effect(effect, node):
-    """Perform an effect that the coordination requests."""
-    raise TypeError("unknown effect %r" % (effect,))
-
-
-@apply_effect.register
-def _send(effect: effects.Send, node):
-    node.peers.send(effect.ip, effect.message)
-
-
-@apply_effect.register
-def _deliver(effect: effects.DeliverAnswer, node):
-    node.grant_requester.deliver(effect.message)
-
-
-@apply_effect.register
-def _log_decision(effect: effects.LogDecision, node):
-    node.log.write(effect.kind, **effect.fields)
-
-
-@apply_effect.register
-def _follow_store(effect: effects.FollowStore, node):
-    node.store_reader.set_active(effect.active)
-
-
-@apply_effect.register
-def _write_member(effect: effects.WriteMember, node):
-    node.start_call(node.rewrite_member())
-
-
-@apply_effect.register
-def _persist_crashes(effect: effects.PersistCrashes, node):
-    node.start_call(node.persist_crashes(effect.rows))
-
-
-@apply_effect.register
-def _fetch_configuration(effect: effects.FetchConfiguration, node):
-    fetch = node.fetch_configuration(effect.ip, effect.version)
-    node.start_fetch("configuration", fetch)
-
-
-@apply_effect.register
-def _fetch_workers(effect: effects.FetchWorkers, node):
-    node.start_fetch("workers", node.fetch_workers(effect.ip))
--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -20,6 +20,7 @@
 from acaciafield.gateway import planned_stop
 from acaciafield_daemon.gateway import decision_log
 from acaciafield_daemon.gateway import node as gateway_node
+from acaciafield_daemon.gateway import node_effects
 from acaciafield_daemon.gateway import options as gateway_options
 from acaciafield_platform import settings
 from acaciafield_platform import store as stores
@@ -497,10 +498,10 @@
         node.store.write_member = write
         for _ in range(10):
             fetch_workers = effects.FetchWorkers("127.0.0.9")
-            gateway_node.apply_effect(fetch_workers, node)
-            gateway_node.apply_effect(effects.WriteMember(), node)
+            node_effects.apply_effect(fetch_workers, node)
+            node_effects.apply_effect(effects.WriteMember(), node)
         notice = effects.FetchConfiguration("127.0.0.8", version)
-        gateway_node.apply_effect(notice, node)
+        node_effects.apply_effect(notice, node)
         await asyncio.sleep(0.05)
         assert fetched.count("configuration") == 1
         assert fetched.count("workers") == gateway_node.MAX_FETCHES
