Let requests wait for tokens while the buckets of quotas fill

Within a window after the coordinator's share has grown, a request now waits for its token for up to half of its remaining time, if the limit provides for it.

Three of the four new tests failed before; the fourth guards the refusal at once.

--- a/packages/coordination/acaciafield/gateway/quota_sharing.py
+++ b/packages/coordination/acaciafield/gateway/quota_sharing.py
@@ -7,6 +7,7 @@
 
 import math
 
+from acaciafield.gateway import admission
 from acaciafield.gateway import effects
 from acaciafield.gateway import handlers
 from acaciafield.gateway import messages
@@ -138,7 +139,10 @@
     if quotas.try_take(request.attempt_id, limit, request.time_left, now):
         waiting.pop(request.attempt_id, None)
         return True
-    if request.attempt_id in waiting:
+    known = waiting.get(request.attempt_id)
+    if known is not None:
+        if known.is_queued:
+            _confirm_queued(request, state, sender, out)
         return False
     _await_tokens(request, limit, state, sender, now, out)
     return False
@@ -147,6 +151,15 @@
 def _await_tokens(request, limit, state, sender, now, out):
     exchange = state.exchange
     bucket = state.quotas.find_bucket(limit, now)
+    if _may_queue(request, limit, state, now):
+        expires = now + admission.MAX_WAIT_SHARE * request.time_left
+        exchange.waiting[request.attempt_id] = quota_buckets.WaitingRequest(
+            request, sender, expires, True
+        )
+        _confirm_queued(request, state, sender, out)
+        _request_urgently(state, now, out)
+        _schedule_wait(state, now)
+        return
     cause = None
     if not _list_others(state, now):
         cause = "alone"
@@ -165,12 +178,34 @@
     _schedule_wait(state, now)
 
 
+def _may_queue(request, limit, state, now):
+    """Return whether a request may wait until the buckets are filled.
+
+    Without it, a start or a change of coordinators would refuse workspaces
+    far below their limits. More requests than the limit provides for in that
+    time are refused at once.
+    """
+    exchange = state.exchange
+    if not state.quotas.is_settling(now):
+        return False
+    if len(exchange.waiting) >= MAX_WAITING:
+        return False
+    max_wait = admission.MAX_WAIT_SHARE * request.time_left
+    ahead = exchange.count_waiting()[request.workspace]
+    return ahead + 1 <= limit.rate * max_wait
+
+
+def _confirm_queued(request, state, sender, out):
+    """Tell the node that its request waits, so that it asks nobody else."""
+    _send(sender, messages.GrantQueued(request.attempt_id), state, out)
+
+
 def _schedule_wait(state, now):
     """Set the timer for the next request for tokens, or for a refusal."""
     exchange = state.exchange
     if not exchange.waiting:
         return
-    due = next(iter(exchange.waiting.values())).expires
+    due = min(waiting.expires for waiting in exchange.waiting.values())
     next_request_at = exchange.sent_at + MIN_URGENT_PAUSE_S
     if exchange.urgent >= 1.0 and next_request_at > now:
         due = min(due, next_request_at)
@@ -230,10 +265,14 @@
 
 def _refuse(request, cause, state, sender, now, out):
     refusal = _make_refusal(request, cause, state, now, out)
+    _send(sender, refusal, state, out)
+
+
+def _send(sender, answer, state, out):
     if not sender or sender == state.local_member.ip:
-        out.append(effects.DeliverAnswer(refusal))
+        out.append(effects.DeliverAnswer(answer))
     else:
-        out.append(effects.Send(sender, refusal))
+        out.append(effects.Send(sender, answer))
 
 
 def _list_others(state, now):
@@ -278,6 +317,8 @@
         exchange.urgent + URGENT_RATE * CHECK_PERIOD_S,
     )
     _end_rounds(state, now, out)
+    if exchange.waiting:
+        _retry_waiting(state, now, out)
     if now - exchange.sent_at >= CHECK_PERIOD_S / 2:
         _request_tokens(state, now, out)
 
@@ -397,6 +438,8 @@
         request = waiting.request
         if _has_token(request, state, now):
             handlers.receive_message(request, state, waiting.sender, now, out)
+        elif waiting.is_queued:
+            is_lacking = True
         elif state.quotas.was_exhausted(request.workspace, now):
             del exchange.waiting[attempt_id]
             _refuse(request, "others-empty", state, waiting.sender, now, out)
@@ -411,7 +454,7 @@
 def _fire_wait(timer: node_state.QuotaWaitTimer, state, now, out):
     for attempt_id, waiting in list(state.exchange.waiting.items()):
         if now < waiting.expires:
-            break
+            continue
         request, sender = waiting.request, waiting.sender
         if _has_token(request, state, now):
             handlers.receive_message(request, state, sender, now, out)
--- a/packages/coordination/acaciafield/gateway/quotas.py
+++ b/packages/coordination/acaciafield/gateway/quotas.py
@@ -34,6 +34,8 @@
 MAX_CHECKED = 1000  # workspaces in one check of the buckets
 MIN_TRANSFER = 0.01  # tokens
 ROUNDING = 1e-9  # error of sums of fractions
+# Growth of the share after which the buckets must fill first.
+SETTLED_RATIO = 1.25
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 MAX_URGENT = 10.0  # requests for tokens at once, see quota_sharing
@@ -238,7 +240,8 @@
 
     ``limits`` maps a name to a workspaces.Workspace; it is None while no
     configuration is known. ``share`` is the part of each limit that this
-    coordinator refills, ``accrued`` its integral over time in seconds.
+    coordinator refills, ``accrued`` its integral over time in seconds;
+    ``share_grew_at`` is the time at which it last grew considerably.
     ``counts`` has totals since the start of the process.
     """
 
@@ -250,6 +253,7 @@
         "zone_share",
         "share",
         "accrued",
+        "share_grew_at",
         "counts",
         "_share_at",
         "_held",
@@ -269,6 +273,7 @@
         self.tokens = {}
         self.share = 0.0
         self.accrued = 0.0
+        self.share_grew_at = math.inf
         self._share_at = None
         self._held = collections.deque()
         self._active = {}
@@ -306,8 +311,17 @@
     def update_share(self, share, now):
         """Set the part of each limit that this coordinator refills."""
         self._accrue(now)
+        if share > SETTLED_RATIO * self.share:
+            self.share_grew_at = now
         self.share = share
 
+    def is_settling(self, now):
+        """Return whether the buckets may be empty although limits allow more.
+
+        That is so within a window after a start or a change of coordinators.
+        """
+        return now < self.share_grew_at + self.terms.quota_window
+
     def _accrue(self, now):
         if self._share_at is not None:
             self.accrued += self.share * max(0.0, now - self._share_at)
@@ -559,9 +573,13 @@
 
 
 class WaitingRequest(structs.Struct):
-    """A grant request that waits for tokens until ``expires``."""
+    """A grant request that waits for tokens until ``expires``.
+
+    With ``is_queued`` it waits on although no coordinator has tokens now.
+    """
 
-    __slots__ = ("request", "sender", "expires")
+    __slots__ = ("request", "sender", "expires", "is_queued")
+    DEFAULTS = {"is_queued": False}
 
 
 class Round:
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -567,3 +567,72 @@
         if isinstance(effect.message, messages.Heartbeat)
     ]
     assert beats and {beat.coordinator for beat in beats} == {""}
+
+
+def select_answers(out):
+    """Return the answers to the node that asks."""
+    sent = support.select_effects(out, effects.Send)
+    return [effect for effect in sent if effect.ip == "10.0.0.9"]
+
+
+def make_settling_state(limits):
+    """Return a sole node whose buckets have just begun to fill."""
+    state = make_lone_state(limits, [support.make_entry("w1", slots=500)])
+    state.quotas.clear()
+    state.quotas.update_share(1.0, 10.0)
+    return state
+
+
+def test_request_waits_for_its_token_while_buckets_fill_after_a_start():
+    """Guards against 429 for workspaces below their limit after a start."""
+    state = make_settling_state(LIMITS)
+    queued = messages.GrantQueued("r1:1")
+    assert ask(state, "r1:1", 10.0, time_left=2.0) == queued
+    # The node asks again and must not turn to another coordinator.
+    assert ask(state, "r1:1", 10.01, time_left=1.99) == queued
+    out, now = [], 10.01
+    while now < 10.3:
+        now += 0.01
+        out += support.reduce(state, events.Tick(now))
+    (sent,) = select_answers(out)
+    assert isinstance(sent.message, messages.Grant)
+    assert sent.message.attempt_id == "r1:1"
+
+
+def test_request_that_waits_for_a_token_in_vain_is_refused():
+    """Guards against a wait until the deadline of the caller."""
+    state = make_settling_state(LIMITS)
+    for number in range(2, 400):
+        # Of so many nodes, this one may refill but a small part.
+        state.membership.add_candidate(support.make_member("n%d" % number))
+    state.quotas.update_share(1.0 / 399, 10.0)
+    ask(state, "r1:1", 10.0, time_left=1.0)
+    out, now = [], 10.0
+    while now < 10.6:
+        now += 0.01
+        out += support.reduce(state, events.Tick(now))
+    sent = [effect.message for effect in select_answers(out)]
+    assert [m.reason for m in sent] == [scheduling.RefusalReason.QUOTA]
+
+
+def test_no_more_requests_wait_than_the_limit_provides_for():
+    """Guards against callers over the limit that are held for nothing."""
+    state = make_settling_state(LIMITS)
+    answers = [
+        ask(state, "r%d:1" % number, 10.0, time_left=1.0)
+        for number in range(30)
+    ]
+    queued = [a for a in answers if isinstance(a, messages.GrantQueued)]
+    assert len(queued) == LIMITS["big"].rate * 0.5
+    refused = [a for a in answers if isinstance(a, messages.GrantRefusal)]
+    assert len(queued) + len(refused) == len(answers)
+
+
+def test_settled_coordinator_refuses_at_once():
+    """Guards against delays of each request of a workspace over its limit."""
+    state = make_settling_state(LIMITS)
+    now = 10.0 + support.TERMS.quota_window + 0.01
+    bucket = state.quotas.find_bucket(LIMITS["big"], now)
+    bucket.level = 0.0
+    answer = ask(state, "r1:1", now)
+    assert isinstance(answer, messages.GrantRefusal)
