Let orders use idle workers while many requests are not served

Orders go to lately proven workers, which leaves others idle; all workers together stayed at the floor, but not the part of them that had no disruption. Quotas refused many requests then, of which the scheduler knew nothing. Where more than a tenth of the attempts fail or are refused, quotas included, workers are now chosen as before that rule.

--- a/packages/coordination/acaciafield/gateway/quota_sharing.py
+++ b/packages/coordination/acaciafield/gateway/quota_sharing.py
@@ -265,6 +265,7 @@
 
 def _refuse(request, cause, state, sender, now, out):
     refusal = _make_refusal(request, cause, state, now, out)
+    state.get_scheduler(request.service).record_unserved(now)
     _send(sender, refusal, state, out)
 
 
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -41,6 +41,9 @@
 GRANT_DELIVERY_TIME_S = 0.25
 # Queued requests without a worker after which one dispatch stops trying.
 MAX_MISSES = 8
+# Share of attempts that are refused or fail above which orders use idle
+# workers as well: the share from which the floor is required.
+MAX_UNSERVED_SHARE = 0.1
 MAX_LOGGED_WORKERS = 8  # in one log line
 
 
@@ -404,7 +407,7 @@
             size,
             self.latencies,
             self._may_send_canary(request, now),
-            self.onset_rate.measure_rate(),
+            self._find_onset_rate(now),
         )
 
     def _find_floor_share(self, request, now):
@@ -421,6 +424,21 @@
             margin = floors.RETRYABLE_MARGIN_SHARE
         return min(1.0, self.floor + margin)
 
+    def _find_onset_rate(self, now):
+        """Return the rate of onsets by which to avoid idle workers.
+
+        It is 0 while many requests are not served: the floor then matters,
+        also within a part of the workers that this node cannot tell apart.
+        """
+        unserved = self.recent_results.measure_below(ResultClass.SUCCESS, now)
+        if unserved > MAX_UNSERVED_SHARE:
+            return 0.0
+        return self.onset_rate.measure_rate()
+
+    def record_unserved(self, now):
+        """Count a request that was refused before it reached this service."""
+        self.recent_results.add(ResultClass.FAILURE, now)
+
     def _may_send_canary(self, request, now):
         if request.is_last_attempt or request.retry_count:
             return False
--- a/tests/test_gateway_floors.py
+++ b/tests/test_gateway_floors.py
@@ -175,3 +175,37 @@
     scheduler.update_entries(remaining, 13.01)
     answer = decide(scheduler, "r2:1", 13.02)
     assert answer.worker_id in ("w3", "w4")
+
+
+def test_orders_use_idle_workers_while_many_requests_are_not_served():
+    """Guards against a part of the workers that stays below the floor.
+
+    Two of eight hunted days broke the floor: quotas refused a tenth of the
+    requests while orders went to few, lately proven workers.
+    """
+    scheduler = support.make_scheduler(4)
+    scheduler.onset_rate = FixedRate()
+    assert scheduler._find_onset_rate(1.0) == FixedRate.RATE
+    for number in range(10):
+        scheduler.apply_report(
+            support.make_report("a%d:1" % number, "w1"), 1.0
+        )
+    scheduler.record_unserved(1.0)
+    scheduler.record_unserved(1.0)
+    assert scheduler._find_onset_rate(1.0) == 0.0
+    assert scheduler._find_onset_rate(9.0) == 0.0
+    scheduler.recent_results.add(1, 30.0)
+    assert scheduler._find_onset_rate(30.0) == FixedRate.RATE
+
+
+class FixedRate:
+    """Stands for a measured rate of onsets."""
+
+    RATE = 0.03
+
+    def measure_rate(self):
+        """Return the rate."""
+        return self.RATE
+
+    def advance(self, worker_count, now):
+        """Ignore the time."""
