Share the delivery of answers and the list of evidence holders

- Coordination and quotas each chose between a local answer and a datagram: effects.make_delivery does it for both.
- Evidence batches and refuted crashes each listed the other holders of a service: evidence_batches.list_holder_ips.
- A batch measured the size of each row again for each address it goes to, as it was sent; a row now carries its size, measured once when queued.
- The counts of all requests were kept apart from those by route and workspace; they are one more key of the same counts.
- Worker.record_grant had two parameters that were always equal.

Run: the tests of onsets, evidence, admission, coordination, crashes, floors, quotas, node and scheduling, and the doctests of the library.

--- a/packages/coordination/acaciafield/gateway/admission.py
+++ b/packages/coordination/acaciafield/gateway/admission.py
@@ -31,6 +31,7 @@
 MIN_ROUTE_RATIO = 0.4
 MIN_WORKSPACE_RATIO = 0.8
 RETURN_TIME_S = 1.0  # after Retry-After, for which a caller is remembered
+ALL_REQUESTS = ()  # the key by which each request is counted
 MAX_REFUSED = 4000  # refused callers that are remembered
 
 
@@ -115,20 +116,15 @@
         "entries",
         "asked",
         "granted",
-        "asked_total",
-        "granted_total",
         "usage",
         "returns_at",
     )
 
     def __init__(self):
         self.entries = []
-        # By route, and by workspace as ("", name); of this coordinator.
+        # By the keys of _list_keys; of this coordinator.
         self.asked = DecayingCounts(SHARES_TIME_S)
         self.granted = DecayingCounts(SHARES_TIME_S)
-        # Of all requests, under the key "".
-        self.asked_total = DecayingCounts(SHARES_TIME_S)
-        self.granted_total = DecayingCounts(SHARES_TIME_S)
         # Grants by workspace, of all coordinators.
         self.usage = DecayingCounts(SHARES_TIME_S)
         # Time until which the last refused caller was told to wait, by
@@ -168,7 +164,6 @@
         """Count a first attempt, unless its caller was refused before."""
         if request.retry_count or self._is_return(request, now):
             return
-        self.asked_total.add("", now)
         for key in _list_keys(request):
             self.asked.add(key, now)
 
@@ -176,7 +171,6 @@
         """Count the grant of this coordinator for a request."""
         self.usage.add(request.workspace, now)
         if not request.retry_count:
-            self.granted_total.add("", now)
             for key in _list_keys(request):
                 self.granted.add(key, now)
 
@@ -217,14 +211,14 @@
 
     def measure_served_share(self, now):
         """Return the share of all requests that got a grant."""
-        asked = self.asked_total.measure("", now)
+        asked = self.asked.measure(ALL_REQUESTS, now)
         if asked < MIN_ASKED:
             return 1.0
-        return min(1.0, self.granted_total.measure("", now) / asked)
+        return min(1.0, self.granted.measure(ALL_REQUESTS, now) / asked)
 
     def measure_rate(self, now):
         """Return the first attempts of new callers per second."""
-        return self.asked_total.measure("", now) / SHARES_TIME_S
+        return self.asked.measure(ALL_REQUESTS, now) / SHARES_TIME_S
 
     def sort(self, now):
         """Return the queued requests, the first to be served first."""
@@ -286,7 +280,10 @@
 
 
 def _list_keys(request):
-    """Return the keys by which a request is counted."""
+    """Return the keys by which a request is counted.
+
+    A route counts by its name, a workspace by ("", name).
+    """
     if request.workspace:
-        return (request.route, ("", request.workspace))
-    return (request.route,)
+        return (ALL_REQUESTS, request.route, ("", request.workspace))
+    return (ALL_REQUESTS, request.route)
--- a/packages/coordination/acaciafield/gateway/backends.py
+++ b/packages/coordination/acaciafield/gateway/backends.py
@@ -187,12 +187,12 @@
         self.failed_at = max(self.failed_at, now - age)
         self.decay, self.failures = decay, failures
 
-    def record_grant(self, started, now):
-        """Record the grant of a request at ``started``."""
-        self.granted_at = max(self.granted_at, started)
+    def record_grant(self, now):
+        """Record the grant of a request."""
+        self.granted_at = max(self.granted_at, now)
         self.proven_at = self.find_proven_at(now)
         if self.unproven_at is None or now - self.unproven_at >= PROOF_TIME_S:
-            self.unproven_at = started
+            self.unproven_at = now
 
     def find_proven_at(self, now):
         """Return when a request last started that did not fail at once."""
--- a/packages/coordination/acaciafield/gateway/coordination.py
+++ b/packages/coordination/acaciafield/gateway/coordination.py
@@ -87,13 +87,6 @@
         _dispatch(scheduler, state, now, out)
 
 
-def _send(state, ip, message, out):
-    if not ip or ip == state.local_member.ip:
-        out.append(effects.DeliverAnswer(message))
-    else:
-        out.append(effects.Send(ip, message))
-
-
 @handlers.fire_timer.register
 def _fire_sweep(timer: node_state.SweepTimer, state, now, out):
     state.timers.subscribe("sweep", now + node_state.SWEEP_PERIOD_S, timer)
@@ -168,7 +161,8 @@
     if isinstance(answer, messages.Grant):
         answer.granted_by = state.local_member.name
         answer.list_age = state.get_store_age(state.now)
-    _send(state, sender, answer, out)
+    local_ip = state.local_member.ip
+    out.append(effects.make_delivery(sender, answer, local_ip))
     if isinstance(answer, messages.GrantQueued):
         return
     out.append(_describe_decision(answer, request, state))
@@ -339,10 +333,8 @@
 
 def _notify_evidence_holders(service, message, state, out):
     """Send a message to the other nodes that hold a service's evidence."""
-    for name in state.membership.list_evidence_holders(service, state.now):
-        if name != state.local_member.name:
-            ip = state.membership.candidates[name].member.ip
-            out.append(effects.Send(ip, message))
+    ips = evidence_batches.list_holder_ips(state, service, state.now)
+    out.extend(effects.Send(ip, message) for ip in ips)
 
 
 def _log_crash_change(scheduler, report, crashes_before, state, out):
@@ -421,7 +413,9 @@
     }
     out.append(effects.LogDecision("grant-stale", fields))
     rows = [[grant.worker_id, *departed_version]]
-    _send(state, sender, messages.DepartureNotice(rows), out)
+    notice = messages.DepartureNotice(rows)
+    local_ip = state.local_member.ip
+    out.append(effects.make_delivery(sender, notice, local_ip))
 
 
 def _reject_grant(grant, reason, retry_after, out):
--- a/packages/coordination/acaciafield/gateway/effects.py
+++ b/packages/coordination/acaciafield/gateway/effects.py
@@ -15,6 +15,16 @@
     __slots__ = ("message",)
 
 
+def make_delivery(ip, message, local_ip):
+    """Return the effect that brings an answer to the node at ``ip``.
+
+    ``ip`` is "" or ``local_ip`` if the local node has asked.
+    """
+    if not ip or ip == local_ip:
+        return DeliverAnswer(message)
+    return Send(ip, message)
+
+
 class FetchConfiguration(structs.Struct):
     """Fetch the configuration from the node at ``ip``."""
 
--- a/packages/coordination/acaciafield/gateway/evidence_batches.py
+++ b/packages/coordination/acaciafield/gateway/evidence_batches.py
@@ -27,8 +27,21 @@
     __slots__ = ()
 
 
+class WaitingRow(structs.Struct):
+    """A packed message and its size in bytes before compression."""
+
+    __slots__ = ("row", "size")
+
+    def is_notice(self, attempt_id):
+        """Return whether it is the GrantNotice of an attempt."""
+        if self.row[0] != messages.GrantNotice.KIND:
+            return False
+        index = messages.GrantNotice.__slots__.index("attempt_id")
+        return self.row[1 + index] == attempt_id
+
+
 class EvidenceBatches:
-    """Messages that wait to be sent, as packed rows by address."""
+    """Messages that wait to be sent, as WaitingRow by address."""
 
     __slots__ = ("rows_by_ip",)
 
@@ -38,7 +51,7 @@
     def remove_notice(self, attempt_id):
         """Remove the waiting GrantNotice of an attempt, if there is one."""
         for ip, rows in list(self.rows_by_ip.items()):
-            remaining = [r for r in rows if not _is_notice(r, attempt_id)]
+            remaining = [r for r in rows if not r.is_notice(attempt_id)]
             if remaining:
                 self.rows_by_ip[ip] = remaining
             else:
@@ -54,43 +67,45 @@
         ]
 
 
-def _is_notice(row, attempt_id):
-    """Return whether a packed row is the GrantNotice of an attempt."""
-    if row[0] != messages.GrantNotice.KIND:
-        return False
-    return row[1 + messages.GrantNotice.__slots__.index("attempt_id")] == (
-        attempt_id
-    )
-
-
 def _split_rows(rows):
     """Yield the rows in lists that fit into one datagram each."""
     batch_rows, batch_bytes = [], 0
-    for row in rows:
-        size = len(repr(row).encode(errors="replace"))
+    for waiting in rows:
         if batch_rows and (
             len(batch_rows) >= MAX_BATCH_ROWS
-            or batch_bytes + size > MAX_BATCH_BYTES
+            or batch_bytes + waiting.size > MAX_BATCH_BYTES
         ):
             yield batch_rows
             batch_rows, batch_bytes = [], 0
-        batch_rows.append(row)
-        batch_bytes += size
+        batch_rows.append(waiting.row)
+        batch_bytes += waiting.size
     yield batch_rows
 
 
+def list_holder_ips(state, service, now, exclude=""):
+    """Return the addresses of the other nodes that hold a service's evidence.
+
+    The node ``exclude`` is left out.
+    """
+    membership = state.membership
+    return [
+        membership.candidates[name].member.ip
+        for name in membership.list_evidence_holders(service, now)
+        if name not in (state.local_member.name, exclude)
+    ]
+
+
 def queue_message(state, service, message, now, exclude=""):
     """Pass a message to the other evidence holders with the next batch.
 
     The node ``exclude`` has the message already.
     """
     row = messages.pack_message(message)
+    waiting = WaitingRow(row, len(repr(row).encode(errors="replace")))
     batches = state.evidence_batches
     is_first = not batches.rows_by_ip
-    for name in state.membership.list_evidence_holders(service, now):
-        if name not in (state.local_member.name, exclude):
-            ip = state.membership.candidates[name].member.ip
-            batches.rows_by_ip.setdefault(ip, []).append(row)
+    for ip in list_holder_ips(state, service, now, exclude):
+        batches.rows_by_ip.setdefault(ip, []).append(waiting)
     if is_first and batches.rows_by_ip:
         due = now + BATCH_PERIOD_S
         state.timers.subscribe("evidence", due, BatchTimer())
--- a/packages/coordination/acaciafield/gateway/quota_sharing.py
+++ b/packages/coordination/acaciafield/gateway/quota_sharing.py
@@ -152,7 +152,7 @@
     exchange = state.exchange
     bucket = state.quotas.find_bucket(limit, now)
     if _may_queue(request, limit, state, now):
-        expires = now + admission.MAX_WAIT_SHARE * request.time_left
+        expires = now + _find_max_wait(request)
         exchange.waiting[request.attempt_id] = quota_buckets.WaitingRequest(
             request, sender, expires, True
         )
@@ -190,14 +190,20 @@
         return False
     if len(exchange.waiting) >= MAX_WAITING:
         return False
-    max_wait = admission.MAX_WAIT_SHARE * request.time_left
     ahead = exchange.count_waiting()[request.workspace]
-    return ahead + 1 <= limit.rate * max_wait
+    return ahead + 1 <= limit.rate * _find_max_wait(request)
+
+
+def _find_max_wait(request):
+    """Return the seconds for which a request may wait for its token."""
+    return admission.MAX_WAIT_SHARE * request.time_left
 
 
 def _confirm_queued(request, state, sender, out):
     """Tell the node that its request waits, so that it asks nobody else."""
-    _send(sender, messages.GrantQueued(request.attempt_id), state, out)
+    queued = messages.GrantQueued(request.attempt_id)
+    local_ip = state.local_member.ip
+    out.append(effects.make_delivery(sender, queued, local_ip))
 
 
 def _schedule_wait(state, now):
@@ -266,14 +272,8 @@
 def _refuse(request, cause, state, sender, now, out):
     refusal = _make_refusal(request, cause, state, now, out)
     state.get_scheduler(request.service).record_unserved(now)
-    _send(sender, refusal, state, out)
-
-
-def _send(sender, answer, state, out):
-    if not sender or sender == state.local_member.ip:
-        out.append(effects.DeliverAnswer(answer))
-    else:
-        out.append(effects.Send(sender, answer))
+    local_ip = state.local_member.ip
+    out.append(effects.make_delivery(sender, refusal, local_ip))
 
 
 def _list_others(state, now):
--- a/packages/coordination/acaciafield/gateway/scheduling.py
+++ b/packages/coordination/acaciafield/gateway/scheduling.py
@@ -479,7 +479,7 @@
     def _register_in_flight(self, active):
         worker = active.worker
         worker.in_flight[active.attempt_id] = active
-        worker.record_grant(active.started, active.started)
+        worker.record_grant(active.started)
         self.in_flight[active.attempt_id] = active
 
     def _remove_in_flight(self, attempt_id):
--- a/tests/test_gateway_onsets.py
+++ b/tests/test_gateway_onsets.py
@@ -33,7 +33,7 @@
     scheduler = support.make_scheduler(WORKERS, slots=2)
     scheduler.onset_rate = make_rate(scouts=400, failures=20)
     for worker in scheduler.workers.values():
-        worker.record_grant(now - 1.0, now - 1.0)
+        worker.record_grant(now - 1.0)
         worker.record_success(now - 1.0, now - 0.9)
     scheduler.workers["w3"].record_success(now - 0.1, now)
     return scheduler
@@ -47,7 +47,7 @@
 
 def test_request_that_may_be_retried_goes_to_a_worker_not_proven_lately():
     scheduler = prepare(10.0)
-    scheduler.workers["w3"].record_grant(9.9, 9.9)
+    scheduler.workers["w3"].record_grant(9.9)
     request = support.make_grant_request(idempotent=True)
     assert scheduler.decide(request, "", 10.0).worker_id != "w3"
 
@@ -56,7 +56,7 @@
     """Guards against several requests at a worker that just began to fail."""
     scheduler = support.make_scheduler(1)
     worker = scheduler.workers["w1"]
-    worker.record_grant(5.0, 5.0)
+    worker.record_grant(5.0)
     assert worker.find_proven_at(5.01) < 5.0
     assert worker.find_proven_at(5.1) == 5.0
 
@@ -66,7 +66,7 @@
     worker = scheduler.workers["w1"]
     for number in range(20):
         at = 5.0 + 0.01 * number
-        worker.record_grant(at, at)
+        worker.record_grant(at)
     assert worker.find_proven_at(5.2) >= 5.1
 
 
@@ -109,7 +109,7 @@
     for _ in range(20):
         scheduler.onset_rate.add_onset()
     for number, worker in enumerate(scheduler.workers.values()):
-        worker.record_grant(9.0 + number / 30, 9.0 + number / 30)
+        worker.record_grant(9.0 + number / 30)
         worker.record_success(9.0 + number / 30, 9.5 + number / 60)
     assert scheduler.onset_rate.measure_rate() > 0.0
     assert play_orders(scheduler, 20, 10.0, 25.0) >= 0.7
