Check the type of each field of the gateway's messages

Heartbeat.named_time came with the quotas and was missing from the table of types: a peer's text there would have entered the table of leases. The value of a field with a type is checked as before.

--- a/packages/coordination/acaciafield/gateway/message_types.py
+++ b/packages/coordination/acaciafield/gateway/message_types.py
@@ -9,6 +9,7 @@
 
 OPTIONAL = type(None)
 NUMBER = (int, float)
+SEQUENCES = (list, tuple)
 TYPES_BY_FIELD = {
     "attempt_id": str,
     "node": str,
@@ -52,11 +53,12 @@
     "config_age": (*NUMBER, OPTIONAL),
     "store_era": int,
     "coordinator": str,
+    "named_time": (*NUMBER, OPTIONAL),
     "is_hedge": bool,
     "is_relayed": bool,
     "is_superseded": bool,
     "request_id": str,
-    "rows": (list, tuple),
+    "rows": SEQUENCES,
 }
 MEMBER_ROW = (str, int, str, str, NUMBER, bool)
 DEPARTURE_ROW = (str, int, int)
@@ -80,7 +82,6 @@
     "entry_version": (int, 2),
     "load": (NUMBER, 3),
 }
-SEQUENCES = (list, tuple)
 
 
 def find_mistyped(message):
