Share the stand-ins of a store reader's hooks between two tests

Two tests had a class of hooks and a recording log each. Both now take tests/store_support.py; no assertion changes.

--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -9,6 +9,7 @@
 from acaciafield_daemon.gateway import decision_log
 from acaciafield_daemon.gateway import store_reader
 from tests import gateway_support as support
+from tests import store_support
 
 
 def make_table(now=0.0):
@@ -202,7 +203,7 @@
 UNREADABLE = b"junk"
 
 
-class Hooks:
+class Hooks(store_support.ReaderHooks):
     """Hooks that record the lists of workers that the reader passes on."""
 
     def __init__(self, sole_member=False):
@@ -223,29 +224,10 @@
     def confirm_configuration(self, proven_at):
         self.proofs.append(proven_at)
 
-    def record_store_answer(self):
-        pass
-
-    def record_store_failure(self):
-        pass
-
-    def record_refused_offset(self):
-        pass
-
     def update_workers(self, found, departures, changed):
         self.lists.append(found)
 
 
-class RecordingLog:
-    """A decision log that keeps its lines in a list."""
-
-    def __init__(self):
-        self.lines = []
-
-    def write(self, kind, **fields):
-        self.lines.append((kind, fields))
-
-
 def run_reader(store, seconds, sole_member=False, recovers_at=None):
     """Read a store for some seconds; return the calls by stream.
 
@@ -312,7 +294,7 @@
 
 def read_unreadable(decode):
     """Read the workers for two seconds; return the hooks and the log."""
-    hooks, log = Hooks(), RecordingLog()
+    hooks, log = Hooks(), store_support.RecordingLog()
 
     async def run():
         loop = asyncio.get_running_loop()
@@ -395,7 +377,7 @@
     async def run():
         loop = asyncio.get_running_loop()
         reader = store_reader.StoreReader(
-            store, loop.time, RecordingLog(), hooks, clock.read
+            store, loop.time, store_support.RecordingLog(), hooks, clock.read
         )
         reader.set_active(True)
         while len(hooks.proofs) <= len(answers):
@@ -473,7 +455,7 @@
     async def run():
         loop = asyncio.get_running_loop()
         reader = store_reader.StoreReader(
-            store, loop.time, RecordingLog(), hooks
+            store, loop.time, store_support.RecordingLog(), hooks
         )
         reader.set_active(True)
         while store.reads:
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -17,30 +17,19 @@
 from standins import store as stand_in
 from tests import gateway_fleet
 from tests import gateway_support as support
+from tests import store_support
 
 READ_TIME_S = 1.5  # for a coordinator to read what was written
 WORKER_COUNT = 6
 
 
-class Hooks:
+class Hooks(store_support.ReaderHooks):
     """What a coordinator's reader passes on."""
 
     def __init__(self):
         self.workers = []
         self.versions = []
 
-    def is_sole_member(self):
-        return False
-
-    def record_store_answer(self):
-        pass
-
-    def record_store_failure(self):
-        pass
-
-    def record_refused_offset(self):
-        pass
-
     def update_workers(self, found, departures, changed):
         self.workers = sorted(entry.worker_id for entry in found)
 
@@ -49,22 +38,6 @@
         self.versions.append(configuration.version)
         return True
 
-    def checks_keys(self):
-        return False
-
-    def confirm_configuration(self, proven_at):
-        pass
-
-
-class RecordingLog:
-    """A decision log that keeps its lines in a list."""
-
-    def __init__(self):
-        self.lines = []
-
-    def write(self, kind, **fields):
-        self.lines.append((kind, fields))
-
 
 def put_worker(server, number, sequence):
     """Write the entry of a worker."""
@@ -97,7 +70,7 @@
             put_worker(server, number, 1)
         put_configuration(server, 1)
         reader = store_reader.StoreReader(
-            client, loop.time, RecordingLog(), hooks
+            client, loop.time, store_support.RecordingLog(), hooks
         )
         reader.set_active(True)
         await asyncio.sleep(READ_TIME_S)
