--- a/bench/quota_takeovers.py
+++ b/bench/quota_takeovers.py
@@ -21,9 +21,8 @@
 MIN_DOWNTIME_S, MAX_DOWNTIME_S = 0.5, 1.2
 
 
-def start_fleet(seed, hosts=5):
-    """Return a fleet in three zones under the usual load."""
-    fleet = simulation.QuotaFleet(random.Random(seed), zones=3, count=hosts)
+def start_usual_load(fleet):
+    """Start a fleet with limits; return the usual load by workspace."""
     loads = {
         "w%d" % number: LARGE_RATE if number < LARGE else SMALL_RATE
         for number in range(WORKSPACES)
@@ -37,6 +36,13 @@
     fleet.start()
     fleet.configure(limits)
     fleet.run_until(BEGIN_S)
+    return loads
+
+
+def start_fleet(seed, hosts=5):
+    """Return a fleet in three zones under the usual load."""
+    fleet = simulation.QuotaFleet(random.Random(seed), zones=3, count=hosts)
+    loads = start_usual_load(fleet)
     for name, load in loads.items():
         fleet.plan_load(name, load, BEGIN_S, END_S)
     return fleet
--- a/bench/quota_traffic.py
+++ b/bench/quota_traffic.py
@@ -11,17 +11,13 @@
 import orjson
 
 from acaciafield.gateway import messages
+from bench import quota_takeovers
 from tests import gateway_quota_simulation as simulation
 from tests import gateway_support as support
 from tests import test_gateway_quotas
 
-WORKSPACES = 87
-LARGE = 3  # these have half of the requests
-LARGE_RATE = 60.0
-SMALL_RATE = 2.0
-LIMIT_RATIO = 1.6
 NOISY_FACTOR = 7.5
-BEGIN_S, END_S = 6.0, 16.0
+END_S = 16.0
 QUOTA_MESSAGES = ("QuotaRequest", "QuotaTransfer")
 
 
@@ -44,27 +40,15 @@
     fleet.entries.append(
         support.make_entry("w11", service="maps", slots=100_000)
     )
-    loads = {
-        "w%d" % number: LARGE_RATE if number < LARGE else SMALL_RATE
-        for number in range(WORKSPACES)
-    }
-    limits = simulation.make_limits(
-        **{
-            name: (LIMIT_RATIO * load, LIMIT_RATIO * load)
-            for name, load in loads.items()
-        }
-    )
-    fleet.start()
-    fleet.configure(limits)
-    fleet.run_until(BEGIN_S)
+    loads = quota_takeovers.start_usual_load(fleet)
     fleet.sizes.clear()
     fleet.quota_messages.clear()
     services = ("orders",) * 12 + ("maps",)
     for name, load in loads.items():
         rate = load * (factor if name == "w0" else 1.0)
-        fleet.plan_load(name, rate, BEGIN_S, END_S, services)
+        fleet.plan_load(name, rate, quota_takeovers.BEGIN_S, END_S, services)
     fleet.run_until(END_S)
-    duration = END_S - BEGIN_S
+    duration = END_S - quota_takeovers.BEGIN_S
     quota_bytes = sum(fleet.sizes[name] for name in QUOTA_MESSAGES)
     print(
         "load of w0 x %.1f: busiest direction of a link %.1f messages/s;"
