Keep the checks of the platform's document in the platform's folder

The checks of a configuration name the fields of the platform's document, which only platform/ may know. The module moves there from the operator's package; the command stays.

--- a/packages/operator/acaciafield_operator/gateway_check.py
+++ b/packages/operator/acaciafield_operator/gateway_check.py
@@ -1,13 +1,19 @@
 """The command that checks a gateway's configuration document."""
 
 import json
+import pathlib
 import sys
 import typing
 
 import cyclopts
 
 from acaciafield_operator import exit_codes
-from acaciafield_operator import gateway_configs
+
+# The platform's package is not installed; it lies beside the packages.
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+sys.path.append(str(ROOT / "platform"))
+
+from acaciafield_platform import configuration_checks  # noqa: E402
 
 
 def check_gateway_config(
@@ -15,7 +21,7 @@
     *,
     in_force: str = "",
     workers: tuple[str, ...] = (),
-    quota_window: float = gateway_configs.DEFAULT_QUOTA_WINDOW_S,
+    quota_window: float = configuration_checks.DEFAULT_QUOTA_WINDOW_S,
     as_json: typing.Annotated[
         bool,
         cyclopts.Parameter(name="--json", negative="", help="Print JSON."),
@@ -44,17 +50,21 @@
         if not service or not number.isdecimal():
             return _print_error("--workers must be SERVICE=NUMBER: %s" % text)
         counts[service] = int(number)
-    result = gateway_configs.read_document(file)
+    result = configuration_checks.read_document(file)
     if result.is_error():
         return _print_error(result.error)
-    findings = gateway_configs.find_findings(result.ok, counts, quota_window)
+    findings = configuration_checks.find_findings(
+        result.ok, counts, quota_window
+    )
     differences = None
     if in_force:
-        current = gateway_configs.read_document(in_force)
+        current = configuration_checks.read_document(in_force)
         if current.is_error():
             return _print_error(current.error)
-        findings += gateway_configs.check_version(result.ok, current.ok)
-        differences = gateway_configs.find_differences(result.ok, current.ok)
+        findings += configuration_checks.check_version(result.ok, current.ok)
+        differences = configuration_checks.find_differences(
+            result.ok, current.ok
+        )
     if as_json:
         _print_json(findings, differences)
     else:
--- a/tests/test_gateway_configs.py
+++ b/tests/test_gateway_configs.py
@@ -5,8 +5,8 @@
 import pytest
 
 from acaciafield_operator import gateway_check
-from acaciafield_operator import gateway_configs
 from acaciafield_operator import main
+from acaciafield_platform import configuration_checks
 from tests import test_platform
 
 SECRET = "k-secret"
@@ -41,11 +41,13 @@
 def read(tmp_path, document):
     path = tmp_path / "new.json"
     path.write_text(json.dumps(document))
-    return gateway_configs.read_document(str(path)).ok
+    return configuration_checks.read_document(str(path)).ok
 
 
 def list_findings(tmp_path, document, **options):
-    found = gateway_configs.find_findings(read(tmp_path, document), **options)
+    found = configuration_checks.find_findings(
+        read(tmp_path, document), **options
+    )
     return [str(finding) for finding in found]
 
 
@@ -239,7 +241,7 @@
 
 def test_order_of_columns_is_no_difference(tmp_path, capsys):
     table = test_platform.CONFIGURATION
-    rows = list(gateway_configs.list_rows(table, "routes"))
+    rows = list(configuration_checks.list_rows(table, "routes"))
     current = table | {"routes": rows, "version": 6}
     _, out, _ = check(tmp_path, capsys, table, current=current)
     assert out.splitlines()[1:] == ["document: version: 6 -> 7"]
