List the evidence holders once for each report

A node ranked the coordinators of a service twice for each report that it sent, once to see whether the granter is a holder and once for itself.

--- a/packages/daemon/acaciafield_daemon/gateway/grant_requests.py
+++ b/packages/daemon/acaciafield_daemon/gateway/grant_requests.py
@@ -175,35 +175,24 @@
         or requests a pause, because coordinators may change.
         """
         local_name = self.state.local_member.name
-        if not self._may_relay(report.service, granted_by):
-            names = {granted_by}
-            if must_record_locally(report):
-                names.add(local_name)
-            self.notify_coordinators(report, names)
-            return
+        must_record = must_record_locally(report)
         holders = self.state.membership.list_evidence_holders(
             report.service, self.clock()
         )
-        is_local_copy_needed = local_name in holders or must_record_locally(
-            report
-        )
+        if granted_by not in holders or self._may_be_down(granted_by):
+            local_names = {local_name} if must_record else set()
+            self.notify_coordinators(report, {granted_by, *local_names})
+            return
+        is_local_copy_needed = must_record or local_name in holders
         if is_local_copy_needed and granted_by != local_name:
             self.send(local_name, report)
         report.is_relayed = True
         self.send(granted_by, report)
 
-    def _may_relay(self, service, granted_by):
-        """Return whether a coordinator can pass on a report.
-
-        It must be an evidence holder itself and not be suspected to be down.
-        """
-        membership, now = self.state.membership, self.clock()
-        candidate = membership.candidates.get(granted_by)
-        if candidate is None or candidate.backoff_until > now:
-            return False
-        if candidate.is_unresponsive(now):
-            return False
-        return granted_by in membership.list_evidence_holders(service, now)
+    def _may_be_down(self, name):
+        """Return whether a coordinator is suspected not to pass on reports."""
+        candidate, now = self.state.membership.candidates[name], self.clock()
+        return candidate.backoff_until > now or candidate.is_unresponsive(now)
 
     def notify_coordinators(self, message, names=()):
         """Send a message to its service's coordinators and to ``names``."""
