--- a/review/deployment.py
+++ b/review/deployment.py
@@ -597,7 +597,7 @@
         is_broken = asyncio.run(play(record))
         code = EXIT_BROKEN if is_broken else EXIT_HELD
         record.write("rule %s", "BROKEN" if is_broken else "held")
-    except (OSError, TimeoutError, EOFError) as error:
+    except Exception as error:
         record.write("could not run: %r", error)
     finally:
         record.save()
