Forward no worker's 408, 429 or 503 unless the worker ran nothing

What callers saw: an order that a worker had run and then failed with 503 was answered 503, which guarantees that it has not run.

Cause: whether a request may have run was judged by Acaciafield-Not-Executed, but the caller got the worker's status whatever it guarantees: a failure from 500 upwards once no attempt was left, 408 and 429 at once.

Ruled out: a second attempt by the gateway (each id reached one worker) and a lost answer (the failure arrived whole).

Change: an answer with one of these statuses is a failure of its worker unless the worker says that it ran nothing, and is not forwarded: the caller gets 502 without signature, or another failure of the same request. Refusals and all other failures are as before.

--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -6,12 +6,9 @@
 
 from acaciafield.gateway import attempts
 from acaciafield.gateway import scheduling
-from acaciafield import outcomes
 from acaciafield import structs
 from acaciafield_daemon.gateway import upstream
 
-Ending = outcomes.Ending
-
 UNAUTHORIZED_STATUS = 401
 LIMITED_STATUS = 429
 UNAVAILABLE_STATUS = 503
@@ -132,7 +129,7 @@
         if is_unauthorized and not may_have_run(last_failure):
             return result
         return last_failure
-    if may_have_run(last_failure) and result.ending is not Ending.FAILED:
+    if may_have_run(last_failure) and not result.is_forwardable:
         return last_failure
     return result
 
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -441,7 +441,7 @@
         header_names = self.options.headers
         request_id = call.outgoing.request_id
         if calls.may_have_run(last_failure):
-            if last_failure.ending is not Ending.FAILED:
+            if not last_failure.is_forwardable:
                 self._record_end(call, "unknown", 502)
                 return responses.make_error_response(
                     502, request_id, header_names
--- a/packages/daemon/acaciafield_daemon/gateway/upstream.py
+++ b/packages/daemon/acaciafield_daemon/gateway/upstream.py
@@ -37,6 +37,9 @@
 FINAL_STATUSES = range(200, 600)
 SHED_STATUS = 503
 MISDIRECTED_STATUS = 421
+# They guarantee a caller that its request has not run and never will. A worker
+# that has run a request may still answer with one of them.
+NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, SHED_STATUS))
 SECONDS_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 UNFORWARDED_HEADERS = frozenset(
     (
@@ -97,6 +100,14 @@
         """The held part of the body as bytes."""
         return b"".join(self.chunks)
 
+    @property
+    def is_forwardable(self):
+        """Whether this is a failure that the caller gets unchanged."""
+        return (
+            self.ending is Ending.FAILED
+            and self.status not in NOT_RUN_STATUSES
+        )
+
 
 class OutgoingRequest(structs.Struct):
     """A caller's request as the gateway forwards it."""
@@ -261,7 +272,7 @@
             return Ending.REFUSED_SHED
         if hdrs.CONTENT_ENCODING in headers:
             return Ending.GARBLED
-        if response.status >= 500:
+        if response.status >= 500 or response.status in NOT_RUN_STATUSES:
             return Ending.FAILED
         is_signed = self.header_names.upstream_signature in headers
         if response.status < 300 and not is_signed:
