Keep the Retry-After of workers and coordinators in a refusal

What callers saw: an order refused by a worker got 503 with Retry-After 0.3, whatever the workers asked for and whatever a coordinator said when it refused the second attempt; one over its quota by then got 503, not 429. The coordinator expects the caller back at the time that it named.

Cause: a worker's refusal stayed the failure to report (choose_failure), and its answer was made with a fixed time.

Change: a refused grant replaces a refusal by a worker, with its status and its time, but no less than 0.3 s. Refused by workers alone, the caller gets the shortest time that they gave, 0.3 s where one gave none.

--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -12,6 +12,7 @@
 UNAUTHORIZED_STATUS = 401
 LIMITED_STATUS = 429
 UNAVAILABLE_STATUS = 503
+OVERLOAD_RETRY_AFTER_S = 0.3  # where neither worker nor coordinator gave one
 LIMITED = "limited"  # outcome of a request over the quota
 DEFAULT_TIMEOUT_S = 30.0  # for a caller that sends no deadline
 
@@ -120,20 +121,41 @@
 
 def choose_failure(last_failure, result):
     """Return the failure that is more informative for the caller."""
-    if isinstance(last_failure, upstream.AttemptResult) and isinstance(
-        result, NoGrant
-    ):
-        # 401 tells the caller more than a refusal of a worker that did not
-        # run the request.
-        is_unauthorized = result.status == UNAUTHORIZED_STATUS
-        if is_unauthorized and not may_have_run(last_failure):
-            return result
-        return last_failure
-    if may_have_run(last_failure) and not result.is_forwardable:
+    if not may_have_run(last_failure):
+        # A refusal of a grant knows of all workers, and of the caller's key
+        # and quota; one of a worker only of that worker.
+        return result
+    if isinstance(result, NoGrant) or not result.is_forwardable:
         return last_failure
     return result
 
 
+def make_refusal(call, last_failure):
+    """Return the NoGrant of a call that no worker has run.
+
+    ``last_failure`` is a NoGrant or an upstream.AttemptResult, or None.
+    """
+    if not isinstance(last_failure, NoGrant):
+        return NoGrant("", _find_worker_retry_after(call))
+    retry_after = last_failure.retry_after
+    if retry_after is not None and call.ended_attempts:
+        retry_after = max(retry_after, OVERLOAD_RETRY_AFTER_S)
+    return NoGrant(
+        last_failure.reason, retry_after, last_failure.refused_status
+    )
+
+
+def _find_worker_retry_after(call):
+    """Return the shortest time for which the workers of a call refuse."""
+    return min(
+        (
+            result.retry_after or OVERLOAD_RETRY_AFTER_S
+            for _, _, result in call.ended_attempts
+        ),
+        default=OVERLOAD_RETRY_AFTER_S,
+    )
+
+
 def may_have_run(result):
     """Return whether a worker may have executed an attempt."""
     if not isinstance(result, upstream.AttemptResult):
--- a/packages/daemon/acaciafield_daemon/gateway/request_server.py
+++ b/packages/daemon/acaciafield_daemon/gateway/request_server.py
@@ -24,7 +24,6 @@
 UNREADY_RETRY_AFTER_S = 1.0
 STOPPING_REASON = "stopping"
 STOPPING_RETRY_AFTER_S = 0.05  # other nodes can serve the request at once
-OVERLOAD_RETRY_AFTER_S = 0.3  # where no coordinator gave a time
 # Failed requests are all logged; those over a quota may be too many.
 LOG_KINDS = {"passed": "served", calls.LIMITED: "limited"}
 
@@ -164,7 +163,9 @@
         """Refuse a request whose body was not read whole."""
         self.log.write("body-refused", request=request_id, status=status)
         retry_after = (
-            OVERLOAD_RETRY_AFTER_S if status == bodies.STATUS_NO_ROOM else None
+            calls.OVERLOAD_RETRY_AFTER_S
+            if status == bodies.STATUS_NO_ROOM
+            else None
         )
         response = responses.make_error_response(
             status, request_id, self.options.headers, retry_after
@@ -273,7 +274,7 @@
         if not isinstance(answer, messages.Grant):
             reason = answer.reason if answer else "no-coordinator"
             retry_after = (
-                answer.retry_after if answer else OVERLOAD_RETRY_AFTER_S
+                answer.retry_after if answer else calls.OVERLOAD_RETRY_AFTER_S
             )
             is_hedge = number in call.hedges
             self.log.write(
@@ -454,9 +455,7 @@
                 ),
                 body=last_failure.body,
             )
-        refusal = last_failure
-        if not isinstance(refusal, calls.NoGrant):
-            refusal = calls.NoGrant("", OVERLOAD_RETRY_AFTER_S)
+        refusal = calls.make_refusal(call, last_failure)
         self._record_end(call, refusal.outcome, refusal.status)
         return responses.make_error_response(
             refusal.status, request_id, header_names, refusal.retry_after
--- a/packages/daemon/acaciafield_daemon/gateway/upstream.py
+++ b/packages/daemon/acaciafield_daemon/gateway/upstream.py
@@ -108,6 +108,13 @@
             and self.status not in NOT_RUN_STATUSES
         )
 
+    @property
+    def retry_after(self):
+        """The seconds for which a worker refuses, or None if it gave none."""
+        if self.ending is not Ending.REFUSED_SHED:
+            return None
+        return parse_pause(self.headers)
+
 
 class OutgoingRequest(structs.Struct):
     """A caller's request as the gateway forwards it."""
--- a/tests/test_not_run_statuses.py
+++ b/tests/test_not_run_statuses.py
@@ -125,23 +125,26 @@
     run_steps(steps, *makers)
 
 
-def test_failure_of_a_read_without_a_second_grant_is_no_promise(run_steps):
-    async def steps(harness):
-        requester = harness.node.request_server.grant_requester
-        send = requester.send
-
-        def refuse_repeats(name, message):
-            is_repeat = (
-                isinstance(message, messages.GrantRequest)
-                and message.retry_count
+def refuse_repeats(harness, reason="budget", retry_after=1.0):
+    """Let the coordinators refuse each second attempt of a request."""
+    requester = harness.node.request_server.grant_requester
+    send = requester.send
+
+    def send_or_refuse(name, message):
+        is_request = isinstance(message, messages.GrantRequest)
+        if is_request and message.retry_count:
+            requester.deliver(
+                messages.GrantRefusal(message.attempt_id, reason, retry_after)
             )
-            if not is_repeat:
-                send(name, message)
-                return
-            refusal = messages.GrantRefusal(message.attempt_id, "budget", 1.0)
-            requester.deliver(refusal)
+        else:
+            send(name, message)
 
-        requester.send = refuse_repeats
+    requester.send = send_or_refuse
+
+
+def test_failure_of_a_read_without_a_second_grant_is_no_promise(run_steps):
+    async def steps(harness):
+        refuse_repeats(harness)
         await check_unknown(harness, READ, 1)
 
     run_steps(steps, answers.make_answer(503))
@@ -253,6 +256,54 @@
     run_steps(steps, answers.make_refusal(status))
 
 
+@pytest.mark.parametrize(
+    "asked, expected",
+    [
+        (("2.5",), 2.5),
+        (("2.5", "1.25"), 1.25),
+        (("2.5", None), 0.3),
+        (("soon",), 0.3),
+        (("0",), 0.3),
+    ],
+)
+@pytest.mark.parametrize("status", [503, 429])
+def test_refusals_of_workers_keep_their_shortest_retry_after(
+    run_steps, status, asked, expected
+):
+    """Guards against a caller that returns before any worker takes it."""
+
+    async def steps(harness):
+        found, headers, _ = await harness.call(*ORDER)
+        assert (found, len(harness.seen)) == (503, 2)
+        assert float(headers["Retry-After"]) == expected
+
+    fields = [["Retry-After: " + text] if text else [] for text in asked]
+    run_steps(steps, *(answers.make_refusal(status, *f) for f in fields))
+
+
+@pytest.mark.parametrize(
+    "reason, retry_after, expected",
+    [
+        # The node knows when the first pause that it was asked for ends.
+        ("avoided", 0.5, (503, pytest.approx(3.0, abs=0.3))),
+        ("overload", 0.8, (503, 0.8)),
+        ("budget", 0.1, (503, 0.3)),
+        ("quota", 1.2, (429, 1.2)),
+    ],
+)
+def test_refusal_of_a_coordinator_keeps_its_retry_after(
+    run_steps, reason, retry_after, expected
+):
+    """Guards against an early return after a worker refused as well."""
+
+    async def steps(harness):
+        refuse_repeats(harness, reason, retry_after)
+        status, headers, _ = await harness.call(*ORDER)
+        assert (status, float(headers["Retry-After"])) == expected
+
+    run_steps(steps, answers.make_refusal(503, "Retry-After: 3"))
+
+
 def test_log_leads_from_an_unknown_order_to_the_status_of_its_worker(
     run_steps,
 ):
