Let the soak's workers fail with statuses that guarantee no run

A worker's fault "false-refusals" runs a request and answers 408, 429 or 503 without saying that it ran nothing. The soak's existing check finds an order that was refused and ran.

--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -31,6 +31,7 @@
 SHEDDING_FAULTS = ("shed", "rest")
 WORKER_FAULTS = (
     "errors",
+    "false-refusals",
     "reset",
     "hang",
     "extra",
@@ -38,6 +39,7 @@
     "heads",
     *SHEDDING_FAULTS,
 )
+FALSE_REFUSAL_STATUSES = (408, 429, 503)  # of requests that ran
 REQUESTED_PAUSE_S = 2.5  # that a worker requests with Retry-After
 CRASH_PATH = "/crash"  # in the path of a request that crashes its worker
 RESTART_DELAY_S = 2.0  # of a crashed worker
@@ -299,6 +301,9 @@
             await _send_heads(request)
         if self.fault == "errors":
             return web.Response(status=500, headers=headers, body=body)
+        if self.fault == "false-refusals":
+            status = self.soak.random.choice(FALSE_REFUSAL_STATUSES)
+            return web.Response(status=status, headers=headers, body=body)
         await asyncio.sleep(WORK_TIME_S)
         answer = web.Response(headers=headers, body=make_answer(request_id))
         if self.fault == "extra" and request.transport is not None:
