Test what the caller of a hedged read gets when its attempts fail

Guards against 503 for a read that ran, where the first attempt fails while its hedge runs or after the hedge was refused. Hedges exist for requests that can be repeated only; the path shares its choice of a failure with orders.

--- a/tests/test_not_run_statuses.py
+++ b/tests/test_not_run_statuses.py
@@ -12,6 +12,7 @@
 from acaciafield.gateway import messages
 from acaciafield import outcomes
 from acaciafield_daemon.gateway import calls
+from acaciafield_daemon.gateway import grant_requests
 from acaciafield_daemon.gateway import upstream
 from tests import test_gateway_node
 from tests import test_quota_answers
@@ -19,6 +20,7 @@
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 GRACE_S = 0.5
+HEDGE_AFTER_S = 0.1
 ORDER = ("POST", "/a/x", "a.example")
 READ = ("GET", "/b/x", "b.example")
 Ending = outcomes.Ending
@@ -150,6 +152,43 @@
     run_steps(steps, answers.make_answer(503))
 
 
+@pytest.mark.parametrize(
+    "second, expected",
+    [
+        (answers.make_answer(200), 200),
+        (answers.make_answer(500), 500),
+        (answers.make_answer(429), 502),
+        (answers.make_refusal(503), 502),
+        (answers.reset, 502),
+        (None, 502),
+    ],
+)
+def test_failure_of_a_hedged_read_is_no_promise(
+    run_steps, monkeypatch, second, expected
+):
+    """The first attempt fails while its hedge runs or after its refusal."""
+    requester_class = grant_requests.GrantRequester
+    deliver = requester_class.deliver
+
+    def deliver_with_hedge(requester, message):
+        if isinstance(message, messages.Grant):
+            message.hedge_after = HEDGE_AFTER_S
+        deliver(requester, message)
+
+    monkeypatch.setattr(requester_class, "deliver", deliver_with_hedge)
+
+    async def steps(harness):
+        if second is None:
+            refuse_repeats(harness, "hedge-budget")
+        status, _, _ = await harness.call(*READ)
+        sent = 1 if second is None else 2
+        assert (status, len(harness.seen)) == (expected, sent)
+
+    first = answers.make_answer(503)
+    makers = [first] if second is None else [first, second]
+    run_steps(steps, *makers, delay=4 * HEDGE_AFTER_S)
+
+
 @pytest.mark.parametrize("is_stopping", [False, True])
 def test_order_that_ran_during_a_stop_gets_no_promise(run_steps, is_stopping):
     """The node exits first, or the worker's failure comes in time."""
