--- a/packages/daemon/acaciafield_daemon/gateway/calls.py
+++ b/packages/daemon/acaciafield_daemon/gateway/calls.py
@@ -122,8 +122,8 @@
 def choose_failure(last_failure, result):
     """Return the failure that is more informative for the caller."""
     if not may_have_run(last_failure):
-        # A refusal of a grant knows of all workers, and of the caller's key
-        # and quota; one of a worker only of that worker.
+        # The last refusal counts. That of a grant comes after a worker's, and
+        # knows of the other workers and of the caller's quota.
         return result
     if isinstance(result, NoGrant) or not result.is_forwardable:
         return last_failure
@@ -131,9 +131,9 @@
 
 
 def make_refusal(call, last_failure):
-    """Return the NoGrant of a call that no worker has run.
+    """Return the NoGrant with which to refuse a call that no worker has run.
 
-    ``last_failure`` is a NoGrant or an upstream.AttemptResult, or None.
+    ``last_failure`` is what choose_failure chose, or None.
     """
     if not isinstance(last_failure, NoGrant):
         return NoGrant("", _find_worker_retry_after(call))
