Let two test modules share one scripted worker

ScriptedWorker repeated RawWorker of test_invalid_statuses, with its fixture and its check of a replaced answer. Both modules now use worker_answers; run_steps takes the workers to start, so that no test patches a class. The refused hedge has a reason that the product gives (it had an invented one). Assertions are as before, and no bound or expectation changed.

--- a/tests/test_gateway_node.py
+++ b/tests/test_gateway_node.py
@@ -161,8 +161,13 @@
         return [seen for worker in self.workers for seen in worker.seen]
 
 
-def run_steps(steps, options=None, configuration=test_platform.CONFIGURATION):
-    """Run steps against a node with two workers."""
+def run_steps(
+    steps,
+    options=None,
+    configuration=test_platform.CONFIGURATION,
+    make_worker=Worker,
+):
+    """Run steps against a node with two workers, made by ``make_worker``."""
 
     async def run():
         options_ = options or make_options()
@@ -171,7 +176,7 @@
                 stand_in.StoreServer().open()
             )
             workers = [
-                await stack.enter_async_context(Worker().open())
+                await stack.enter_async_context(make_worker().open())
                 for _ in range(2)
             ]
             for number, worker in enumerate(workers):
--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -5,14 +5,13 @@
 """
 
 import asyncio
-import contextlib
 import re
 
 import pytest
 
-from tests import test_gateway_node
+from tests import worker_answers as answers
 
-SIGNATURE = "Acaciafield-Upstream-Signature"
+SIGNATURE = answers.SIGNATURE
 INTERIM_HEADS = (
     b"HTTP/1.1 100 Continue\r\n\r\n"
     b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"
@@ -39,73 +38,18 @@
 )
 
 
-class RawWorker:
-    """A worker that answers with the next raw head of a list.
-
-    The list is shared by all workers; the last head is repeated. A head is
-    the bytes before its fields.
-    """
-
-    heads = []
-
-    def __init__(self):
-        self.seen = []
-        self.address = None
-
-    @contextlib.asynccontextmanager
-    async def open(self):
-        """Serve on a free port."""
-        server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
-        async with server:
-            port = server.sockets[0].getsockname()[1]
-            self.address = "127.0.0.1:%d" % port
-            yield self
-
-    async def _answer(self, reader, writer):
-        data = await reader.readuntil(b"\r\n\r\n")
-        length = re.search(rb"(?i)content-length: (\d+)", data)
-        if length is not None:
-            await reader.readexactly(int(length[1]))
-        request_id = re.search(rb"(?i)request-id: (\S+)", data)[1]
-        self.seen.append(request_id.decode())
-        heads = type(self).heads
-        head = heads.pop(0) if len(heads) > 1 else heads[0]
-        writer.write(
-            b"%s\r\nAcaciafield-Request-Id: %s\r\n%s: s\r\n"
-            b"Content-Length: 4\r\n\r\nbody"
-            % (head, request_id, SIGNATURE.encode())
-        )
-        with contextlib.suppress(OSError):
-            await writer.drain()
-        writer.close()
-
-
-@pytest.fixture
-def run_steps(monkeypatch):
-    """Return a function that runs steps at a node whose workers send heads."""
-    monkeypatch.setattr(test_gateway_node, "Worker", RawWorker)
-
-    def run(steps, *heads):
-        monkeypatch.setattr(RawWorker, "heads", list(heads))
-        test_gateway_node.run_steps(steps)
-
-    return run
-
-
-async def check_replaced(harness, *request):
-    """Check that a request is answered with 502 by the gateway itself."""
-    status, headers, body = await harness.call(*request)
-    assert (status, body) == (502, b"")
-    assert SIGNATURE not in headers
-    assert headers["Acaciafield-Request-Id"] == "q%d" % harness.count
+def run_steps(steps, *starts):
+    """Run steps at a node whose workers answer with the starts of heads."""
+    makers = [
+        answers.make_raw_answer(start, SIGNATURE + ": s") for start in starts
+    ]
+    answers.run_steps(steps, *makers)
 
 
 @each_status_line
-def test_invalid_status_after_interim_heads_is_replaced(
-    run_steps, status_line
-):
+def test_invalid_status_after_interim_heads_is_replaced(status_line):
     async def steps(harness):
-        await check_replaced(harness, "POST", "/a/x", "a.example")
+        await answers.check_replaced(harness, "POST", "/a/x", "a.example")
         # It may have run, so that no other worker may get it.
         assert harness.seen == ["q1"]
 
@@ -113,16 +57,16 @@
 
 
 @each_status_line
-def test_invalid_status_for_a_read_is_replaced(run_steps, status_line):
+def test_invalid_status_for_a_read_is_replaced(status_line):
     async def steps(harness):
-        await check_replaced(harness)
+        await answers.check_replaced(harness)
         assert harness.seen == ["q1", "q1"]
 
     run_steps(steps, status_line)
 
 
 @each_status_line
-def test_read_with_an_invalid_status_is_repeated(run_steps, status_line):
+def test_read_with_an_invalid_status_is_repeated(status_line):
     async def steps(harness):
         status, headers, body = await harness.call()
         assert (status, body, headers[SIGNATURE]) == (200, b"body", "s")
@@ -133,7 +77,7 @@
 
 @each_status_line
 def test_invalid_status_for_a_second_attempt_leaves_the_first_answer(
-    run_steps, status_line
+    status_line,
 ):
     async def steps(harness):
         status, headers, body = await harness.call()
@@ -145,7 +89,7 @@
 
 @each_status_line
 def test_kept_connection_serves_on_after_an_order_with_an_invalid_status(
-    run_steps, status_line
+    status_line,
 ):
     async def steps(harness):
         port = harness.node.options.caller_port
@@ -171,7 +115,7 @@
     run_steps(steps, status_line, VALID_STATUS_LINE)
 
 
-def test_highest_valid_status_is_forwarded_with_its_signature(run_steps):
+def test_highest_valid_status_is_forwarded_with_its_signature():
     async def steps(harness):
         status, headers, body = await harness.call("POST", "/a/x", "a.example")
         assert (status, body, headers[SIGNATURE]) == (599, b"body", "s")
--- a/tests/test_not_run_statuses.py
+++ b/tests/test_not_run_statuses.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from acaciafield.gateway import hedging
 from acaciafield.gateway import messages
 from acaciafield import outcomes
 from acaciafield_daemon.gateway import calls
@@ -25,36 +26,26 @@
 READ = ("GET", "/b/x", "b.example")
 Ending = outcomes.Ending
 each_ran_status = pytest.mark.parametrize("status", [408, 429, 503])
+each_refusal_status = pytest.mark.parametrize("status", [503, 429, 421, 400])
 each_framing = pytest.mark.parametrize("framing", answers.FRAMINGS)
 
 
-@pytest.fixture
-def run_steps(monkeypatch):
-    """Return a function that runs steps at a node with scripted workers."""
-    worker = answers.ScriptedWorker
-    monkeypatch.setattr(test_gateway_node, "Worker", worker)
-
-    def run(steps, *makers, delay=0.0):
-        monkeypatch.setattr(worker, "answers", list(makers))
-        monkeypatch.setattr(worker, "delay", delay)
-        options = test_gateway_node.make_options(grace=GRACE_S)
-        test_gateway_node.run_steps(steps, options)
-
-    return run
+def run_steps(steps, *makers, delay=0.0):
+    """Run steps at a node that stops soon, with scripted workers."""
+    options = test_gateway_node.make_options(grace=GRACE_S)
+    answers.run_steps(steps, *makers, delay=delay, options=options)
 
 
 async def check_unknown(harness, request, attempts):
-    """Check that a request is answered with 502 by the gateway itself."""
-    status, headers, body = await harness.call(*request)
-    assert (status, body) == (502, b"")
-    assert answers.SIGNATURE not in headers
+    """Check that the gateway answers 502 after a number of attempts."""
+    headers = await answers.check_replaced(harness, *request)
     assert "Retry-After" not in headers
     assert len(harness.seen) == attempts
 
 
 @each_framing
 @each_ran_status
-def test_order_that_ran_gets_no_promise(run_steps, status, framing):
+def test_order_that_ran_gets_no_promise(status, framing):
     async def steps(harness):
         await check_unknown(harness, ORDER, 1)
 
@@ -63,7 +54,7 @@
 
 
 @each_ran_status
-def test_order_sent_in_chunks_that_ran_gets_no_promise(run_steps, status):
+def test_order_sent_in_chunks_that_ran_gets_no_promise(status):
     async def send_body():
         yield b"order"
 
@@ -71,11 +62,11 @@
         found, _, body = await harness.call(*ORDER, data=send_body())
         assert (found, body, len(harness.seen)) == (502, b"", 1)
 
-    run_steps(steps, answers.make_answer(status, signed=False))
+    run_steps(steps, answers.make_raw_answer(b"HTTP/1.1 %d Status" % status))
 
 
 @each_ran_status
-def test_read_that_ran_is_repeated_and_gets_no_promise(run_steps, status):
+def test_read_that_ran_is_repeated_and_gets_no_promise(status):
     async def steps(harness):
         await check_unknown(harness, READ, 2)
 
@@ -83,7 +74,7 @@
 
 
 @each_ran_status
-def test_repeat_of_a_read_is_answered(run_steps, status):
+def test_repeat_of_a_read_is_answered(status):
     async def steps(harness):
         found, headers, body = await harness.call(*READ)
         assert (found, body) == (200, answers.BODY)
@@ -92,16 +83,12 @@
     run_steps(steps, answers.make_answer(status), answers.make_answer(200))
 
 
-@pytest.mark.parametrize(
-    "first",
-    [answers.make_refusal(503), answers.make_refusal(429)]
-    + [answers.make_refusal(status) for status in (421, 400)],
-)
-def test_refused_order_that_ran_elsewhere_gets_no_promise(run_steps, first):
+@each_refusal_status
+def test_refused_order_that_ran_elsewhere_gets_no_promise(status):
     async def steps(harness):
         await check_unknown(harness, ORDER, 2)
 
-    run_steps(steps, first, answers.make_answer(503))
+    run_steps(steps, answers.make_refusal(status), answers.make_answer(503))
 
 
 @pytest.mark.parametrize(
@@ -118,7 +105,7 @@
         ((answers.make_refusal(503), answers.reset), 502),
     ],
 )
-def test_failure_chosen_for_a_read_is_no_promise(run_steps, makers, status):
+def test_failure_chosen_for_a_read_is_no_promise(makers, status):
     async def steps(harness):
         found, headers, _ = await harness.call(*READ)
         assert (found, len(harness.seen)) == (status, 2)
@@ -144,7 +131,7 @@
     requester.send = send_or_refuse
 
 
-def test_failure_of_a_read_without_a_second_grant_is_no_promise(run_steps):
+def test_failure_of_a_read_without_a_second_grant_is_no_promise():
     async def steps(harness):
         refuse_repeats(harness)
         await check_unknown(harness, READ, 1)
@@ -163,9 +150,7 @@
         (None, 502),
     ],
 )
-def test_failure_of_a_hedged_read_is_no_promise(
-    run_steps, monkeypatch, second, expected
-):
+def test_failure_of_a_hedged_read_is_no_promise(monkeypatch, second, expected):
     """The first attempt fails while its hedge runs or after its refusal."""
     requester_class = grant_requests.GrantRequester
     deliver = requester_class.deliver
@@ -179,7 +164,7 @@
 
     async def steps(harness):
         if second is None:
-            refuse_repeats(harness, "hedge-budget")
+            refuse_repeats(harness, hedging.HedgeRefusal.SHARE)
         status, _, _ = await harness.call(*READ)
         sent = 1 if second is None else 2
         assert (status, len(harness.seen)) == (expected, sent)
@@ -189,12 +174,12 @@
     run_steps(steps, *makers, delay=4 * HEDGE_AFTER_S)
 
 
-@pytest.mark.parametrize("is_stopping", [False, True])
-def test_order_that_ran_during_a_stop_gets_no_promise(run_steps, is_stopping):
+@pytest.mark.parametrize("is_in_time", [False, True])
+def test_order_that_ran_during_a_stop_gets_no_promise(is_in_time):
     """The node exits first, or the worker's failure comes in time."""
 
     async def steps(harness):
-        if is_stopping:
+        if is_in_time:
             harness.node.options.grace = 4.0
         running = asyncio.ensure_future(harness.call(*ORDER))
         while not harness.seen:
@@ -206,7 +191,7 @@
     run_steps(steps, answers.make_answer(503), delay=0.4)
 
 
-def test_order_that_ran_at_its_deadline_gets_no_promise(run_steps):
+def test_order_that_ran_at_its_deadline_gets_no_promise():
     async def steps(harness):
         status, _, _ = await harness.call(*ORDER)
         assert (status, len(harness.seen)) == (504, 1)
@@ -215,7 +200,7 @@
 
 
 @pytest.mark.parametrize("end", ["no-answer", "exit", "exit-and-grant"])
-def test_order_refused_while_it_waits_for_a_grant_never_runs(run_steps, end):
+def test_order_refused_while_it_waits_for_a_grant_never_runs(end):
     """The grant comes after the refusal, or just before the exit.
 
     In the latter case a worker may get the order, so it is not refused.
@@ -255,9 +240,11 @@
 
 
 @pytest.mark.parametrize("status", [400, 404, 409, 500, 501, 502, 504, 599])
-def test_other_failure_of_an_order_is_forwarded_unchanged(run_steps, status):
+def test_other_failure_of_an_order_is_forwarded_unchanged(status):
+    framings = ("length", "chunks", "close")
+
     async def steps(harness):
-        for _ in ("length", "chunks", "close"):
+        for _ in framings:
             found, headers, body = await harness.call(*ORDER)
             assert (found, body) == (status, answers.BODY)
             assert headers[answers.SIGNATURE] == "s"
@@ -267,13 +254,13 @@
         steps,
         *(
             answers.make_answer(status, "Retry-After: 7", framing=framing)
-            for framing in ("length", "chunks", "close")
+            for framing in framings
         ),
     )
 
 
-@pytest.mark.parametrize("status", [503, 429, 421, 400])
-def test_refused_order_is_tried_elsewhere(run_steps, status):
+@each_refusal_status
+def test_refused_order_is_tried_elsewhere(status):
     async def steps(harness):
         found, headers, body = await harness.call(*ORDER)
         assert (found, body) == (200, answers.BODY)
@@ -283,8 +270,8 @@
     run_steps(steps, answers.make_refusal(status), answers.make_answer(200))
 
 
-@pytest.mark.parametrize("status", [503, 429, 421, 400])
-def test_order_refused_by_each_worker_stays_refused(run_steps, status):
+@each_refusal_status
+def test_order_refused_by_each_worker_stays_refused(status):
     async def steps(harness):
         found, headers, body = await harness.call(*ORDER)
         assert (found, body) == (503, b"")
@@ -307,7 +294,7 @@
 )
 @pytest.mark.parametrize("status", [503, 429])
 def test_refusals_of_workers_keep_their_shortest_retry_after(
-    run_steps, status, asked, expected
+    status, asked, expected
 ):
     """Guards against a caller that returns before any worker takes it."""
 
@@ -331,7 +318,7 @@
     ],
 )
 def test_refusal_of_a_coordinator_keeps_its_retry_after(
-    run_steps, reason, retry_after, expected
+    reason, retry_after, expected
 ):
     """Guards against an early return after a worker refused as well."""
 
@@ -343,9 +330,7 @@
     run_steps(steps, answers.make_refusal(503, "Retry-After: 3"))
 
 
-def test_log_leads_from_an_unknown_order_to_the_status_of_its_worker(
-    run_steps,
-):
+def test_log_leads_from_an_unknown_order_to_the_status_of_its_worker():
     lines = []
 
     async def steps(harness):
--- a/tests/worker_answers.py
+++ b/tests/worker_answers.py
@@ -2,43 +2,43 @@
 
 import asyncio
 import contextlib
+import functools
 import re
 
+from tests import test_gateway_node
+
 SIGNATURE = "Acaciafield-Upstream-Signature"
 BODY = b"body"
 LARGE_BODY = b"x" * 300_000  # larger than a failure that the gateway holds
 
 
-def make_head(status, *fields, signed=True, executed=True):
-    """Return a function that makes the head of an answer to a request id.
+def make_raw_answer(start, *fields, framing="length"):
+    """Return a function that makes an answer to a request id.
 
-    ``executed`` is whether the worker leaves out that it did not run it.
+    ``start`` is the bytes before the fields, ``framing`` a key of FRAMINGS.
     """
-    lines = ["HTTP/1.1 %d Status" % status, *fields]
-    if signed:
-        lines.append(SIGNATURE + ": s")
-    if not executed:
-        lines.append("Acaciafield-Not-Executed: 1")
+    lines = "".join("\r\n" + field for field in fields).encode()
 
     def write(request_id):
-        echo = "Acaciafield-Request-Id: " + request_id
-        return "\r\n".join([*lines, echo]).encode() + b"\r\n"
+        echo = b"\r\nAcaciafield-Request-Id: %s\r\n" % request_id.encode()
+        return start + lines + echo + FRAMINGS[framing]
 
     return write
 
 
-def make_answer(status, *fields, framing="length", **options):
-    """Return a function that makes an answer to a request id.
+def make_answer(status, *fields, **options):
+    """Return a function that makes an answer of a worker that ran a request.
 
-    ``framing`` is a key of FRAMINGS; ``options`` are those of make_head.
+    ``options`` are those of make_raw_answer.
     """
-    write_head = make_head(status, *fields, **options)
-    return lambda request_id: write_head(request_id) + FRAMINGS[framing]
+    start = b"HTTP/1.1 %d Status" % status
+    return make_raw_answer(start, SIGNATURE + ": s", *fields, **options)
 
 
-def make_refusal(status=503, *fields):
+def make_refusal(status, *fields):
     """Return a function that makes the answer of a worker that ran nothing."""
-    return make_answer(status, *fields, signed=False, executed=False)
+    start = b"HTTP/1.1 %d Status" % status
+    return make_raw_answer(start, "Acaciafield-Not-Executed: 1", *fields)
 
 
 def reset(request_id):
@@ -70,15 +70,14 @@
 class ScriptedWorker:
     """A worker that answers with the next of a list of functions.
 
-    The list is shared by all workers; its last function is repeated. Each
-    takes a request id and returns the bytes of the answer, which comes after
-    ``delay`` seconds. ``seen`` lists the request ids.
+    The list may be shared by several workers; its last function is repeated.
+    Each takes a request id and returns the bytes of the answer, which comes
+    after ``delay`` seconds. ``seen`` lists the request ids.
     """
 
-    answers = []
-    delay = 0.0
-
-    def __init__(self):
+    def __init__(self, answers, delay=0.0):
+        self.answers = answers
+        self.delay = delay
         self.seen = []
         self.address = None
 
@@ -99,9 +98,27 @@
                 await reader.readexactly(int(length[1]))
             request_id = re.search(rb"(?i)request-id: (\S+)", head)[1].decode()
             self.seen.append(request_id)
-            answers = type(self).answers
-            make = answers.pop(0) if len(answers) > 1 else answers[0]
-            await asyncio.sleep(type(self).delay)
+            is_last = len(self.answers) == 1
+            make = self.answers[0] if is_last else self.answers.pop(0)
+            await asyncio.sleep(self.delay)
             writer.write(make(request_id))
             await writer.drain()
         writer.close()
+
+
+def run_steps(steps, *answers, delay=0.0, options=None):
+    """Run steps against a node with two workers that share the answers."""
+    make_worker = functools.partial(ScriptedWorker, list(answers), delay)
+    test_gateway_node.run_steps(steps, options, make_worker=make_worker)
+
+
+async def check_replaced(harness, *request):
+    """Check that a request is answered with 502 by the gateway itself.
+
+    Return the headers of the answer.
+    """
+    status, headers, body = await harness.call(*request)
+    assert (status, body) == (502, b"")
+    assert SIGNATURE not in headers
+    assert headers["Acaciafield-Request-Id"] == "q%d" % harness.count
+    return headers
