--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,8 +3,8 @@
 # programs: all of it is Python, so that only the syntax is checked.
 set -e
 cd "$(dirname "$0")/.."
-PYTHONDONTWRITEBYTECODE=1 python3 - review/harness_3.py review/crowds_3.py standins/store.py \
-    review/1[1-5]/case.py <<'CODE'
+PYTHONDONTWRITEBYTECODE=1 python3 - review/harness_3.py \
+    review/crowds_3.py standins/store.py review/1[1-5]/case.py <<'CODE'
 import pathlib
 import sys
 
