--- a/review/crowds_3.py
+++ b/review/crowds_3.py
@@ -1,4 +1,4 @@
-"""Crowds that make nodes exceed their memory, for two of the cases.
+"""A crowd that makes nodes exceed their memory.
 
 The platform ends a process that exceeds its memory and starts it again after
 a short delay. Ordinary callers send orders all the while.
