--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -27,6 +27,7 @@
 HOST = "shop.example"
 ZONES = ("nv-a", "nv-b", "nv-c")
 HEARTBEAT_S = 1.5  # of a worker, as in the settings
+EXPIRY_HEARTBEATS = 3  # of silence, after which the store removes an entry
 START_TIMEOUT_S = 30.0
 PASSED, BROKEN, NOT_RUN = 0, 1, 2
 CPU_SHARE = 0.86
@@ -225,11 +226,22 @@
         self.beats.cancel()
         self.server.close()
 
+    def expire_entry(self):
+        """Let the store remove the entry after three silent heartbeats."""
+        asyncio.get_running_loop().call_later(
+            EXPIRY_HEARTBEATS * HEARTBEAT_S,
+            self.fleet.store.put,
+            "keyed.servers",
+            self.worker_id,
+            None,
+        )
+
     async def crash(self, down_s=2.0):
         """Reset all connections; be back with a new id after ``down_s``."""
         self.fleet.record.write("worker %s crashes", self.worker_id)
         self.crash_count += 1
         self.beats.cancel()
+        self.expire_entry()
         self.server.close()
         for writer in list(self.writers):
             reset(writer)
